A fault soak of the real programs

Machines are loopback addresses; each is known by its proxy's address, so each direction between two machines can be cut, delayed or silenced. For that the programs may bind their traffic to an address other than the one they are known by (bind_host). Storage misbehaves by a file size limit, torn log ends and lost folders. Clocks: the programs use the steady clock only, so pauses stand in.

--- a/bluebelltide/control/_deployments.py
+++ b/bluebelltide/control/_deployments.py
@@ -58,6 +58,8 @@
     """How many replicas should vote."""
     target_lease_ms: int
     """How long a target may be silent."""
+    bind_host: str = ""
+    """Where `port` is bound and calls leave from, if that isn't `host`."""
 
 
 class Outcome(NamedTuple):
@@ -423,7 +425,11 @@
                 host = identity.partition("~")[0]
                 address = _types.Address(host, self._settings.port)
                 answer = await _calls.call(
-                    address, identity, request, CALL_TIMEOUT_MS
+                    address,
+                    identity,
+                    request,
+                    CALL_TIMEOUT_MS,
+                    self._settings.bind_host,
                 )
             if answer is not None:
                 try:
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -97,11 +97,13 @@
             settings.host, settings.data_centre, self._own
         )
         self.use_seeds(settings.seed_hosts)
-        address = _types.Address(settings.host, settings.port)
+        address = _types.Address(
+            settings.bind_host or settings.host, settings.port
+        )
         self._socket = _loop.open_batch_socket(address, self._on_datagram)
         self._socket.start()
         listener = await anyio.create_tcp_listener(
-            local_host=settings.host, local_port=settings.port
+            local_host=address.host, local_port=address.port
         )
         tasks.start_soon(listener.serve, self._serve_call)
         tasks.start_soon(self._poll_forever)
@@ -273,7 +275,11 @@
         address = _types.Address(replica.host, self._settings.port)
         try:
             answer = await _calls.call(
-                address, "", _calls.Fetch(key), FETCH_TIMEOUT_MS
+                address,
+                "",
+                _calls.Fetch(key),
+                FETCH_TIMEOUT_MS,
+                self._settings.bind_host,
             )
             if isinstance(answer, _calls.Fetched):
                 self.deployments.learn(key, answer.state)
--- a/bluebelltide/control/tests/test_deployments.py
+++ b/bluebelltide/control/tests/test_deployments.py
@@ -56,8 +56,9 @@
         receiver: str,
         request: _calls.Request,
         timeout_ms: int,
+        local_host: str = "",
     ) -> _calls.Answer | None:
-        del timeout_ms
+        del timeout_ms, local_host
         if address.host in self.cut or address.host not in self.replicas:
             return None
         return await self.replicas[address.host].handle(receiver, request)
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -65,6 +65,8 @@
     """The machines of some control replicas."""
     ready_path: str
     """The path of readiness."""
+    bind_host: str = ""
+    """Where `port` is bound and calls leave from, if that isn't `host`."""
 
 
 def report_interval_ms(peers: int, shortest_ms: int, reports_per_s: int) -> int:
@@ -144,7 +146,7 @@
         settings = self._settings
         self._tasks = tasks
         self.use_seeds(settings.seed_hosts)
-        own = _types.Address(settings.host, settings.port)
+        own = _types.Address(settings.bind_host or settings.host, settings.port)
         self._news = _loop.open_batch_socket(own, self._on_news)
         self._packets = _loop.open_batch_socket(
             settings.packet_address, self._on_packet
@@ -288,6 +290,7 @@
                 "",
                 _calls.Fetch(_deployment.DEPLOYMENT_KEY),
                 FETCH_TIMEOUT_MS,
+                self._settings.bind_host,
             )
         finally:
             self._is_fetching = False
--- a/bluebelltide/news/_calls.py
+++ b/bluebelltide/news/_calls.py
@@ -138,7 +138,11 @@
 
 
 async def call(
-    address: _types.Address, receiver: str, request: Request, timeout_ms: int
+    address: _types.Address,
+    receiver: str,
+    request: Request,
+    timeout_ms: int,
+    local_host: str = "",
 ) -> Answer | None:
     """Makes a call.
 
@@ -147,13 +151,17 @@
         receiver: The identity that must answer; empty for any.
         request: The request.
         timeout_ms: How long the whole call may take.
+        local_host: The own address that the call leaves from; by default
+            the system chooses.
 
     Returns:
         The answer, or None if there was none in time.
     """
     try:
         with anyio.fail_after(timeout_ms / 1000):
-            async with await anyio.connect_tcp(*address) as stream:
+            async with await anyio.connect_tcp(
+                *address, local_host=local_host or None
+            ) as stream:
                 await stream.send(_pack(request, receiver))
                 _, answer = _unpack(await _read_frame(stream), str(address))
     except _FAILURES:
--- /dev/null
+++ b/bluebelltide/soak/_faults.py
@@ -0,0 +1,186 @@
+"""Carrying out a plan's faults on processes, links and targets."""
+
+from collections.abc import Callable, Sequence
+import signal
+
+import anyio
+
+from bluebelltide.soak import _links
+from bluebelltide.soak import _plan
+from bluebelltide.soak import _processes
+
+STOP_GRACE_S = 6.0
+"""How long a process may take to stop before it is killed."""
+ENDED_POLL_S = 0.05
+"""How often a stopping process is looked at."""
+LOST_SHARE = 0.1
+"""The share of datagrams that a lossy link loses."""
+LONG_DELAY_S = 0.15
+"""How much longer everything takes on a slow link."""
+ACKNOWLEDGED_WAIT_S = 3.0
+"""How long to wait for an acknowledgement to strike at."""
+
+
+class TargetActions:
+    """What can happen to targets, as functions that take a number."""
+
+    def __init__(
+        self,
+        crash: Callable[[int], None],
+        reuse: Callable[[int], None],
+        restart: Callable[[int], None],
+        leave: Callable[[int], None],
+    ) -> None:
+        """Takes the functions."""
+        self.by_kind = {
+            _plan.FaultKind.TARGET_CRASH: crash,
+            _plan.FaultKind.TARGET_REUSE: reuse,
+            _plan.FaultKind.TARGET_RESTART: restart,
+            _plan.FaultKind.TARGET_LEAVE: leave,
+        }
+
+
+class FaultRunner:
+    """Carries out faults at their times."""
+
+    def __init__(
+        self,
+        controls: Sequence[_processes.MachineProcess],
+        entries: Sequence[_processes.MachineProcess],
+        links: _links.Links,
+        targets: TargetActions,
+        next_acknowledged: Callable[[], anyio.Event],
+    ) -> None:
+        """Creates the runner.
+
+        Args:
+            controls: The control replicas' processes.
+            entries: The entry instances' processes.
+            links: The links between all machines.
+            targets: What can happen to targets.
+            next_acknowledged: Returns an event that the operators' next
+                acknowledgement sets.
+        """
+        self._controls = controls
+        self._all = [*controls, *entries]
+        self._links = links
+        self._targets = targets
+        self._next_acknowledged = next_acknowledged
+
+    async def run(self, fault: _plan.Fault) -> None:
+        """Carries out one fault, from its start to its end."""
+        kind = fault.kind
+        machines = (
+            self._controls
+            if _plan.machine_count(kind) == len(self._controls)
+            else self._all
+        )
+        process = machines[fault.victim % len(machines)]
+        if kind in self._targets.by_kind:
+            self._targets.by_kind[kind](fault.victim)
+        elif kind == _plan.FaultKind.KILL_CONTROLS:
+            with anyio.move_on_after(ACKNOWLEDGED_WAIT_S):
+                await self._next_acknowledged().wait()
+            await self._kill(self._controls, fault.for_s)
+        elif kind == _plan.FaultKind.KILL_ALL:
+            await self._kill(self._all, fault.for_s)
+        elif kind in _KILLS:
+            await self._kill([process], fault.for_s, kind)
+        elif kind == _plan.FaultKind.STOP:
+            await self._stop(process, fault.for_s)
+        elif kind == _plan.FaultKind.RELOAD:
+            process.signal(signal.SIGHUP)
+        elif kind == _plan.FaultKind.PAUSE:
+            process.pause()
+            await anyio.sleep(fault.for_s)
+            process.resume()
+        elif kind == _plan.FaultKind.FULL_DISK:
+            process.fill_disk()
+            await anyio.sleep(fault.for_s)
+            process.free_disk()
+        else:
+            await self._harm_links(kind, process, fault.for_s)
+
+    async def _kill(
+        self,
+        processes: Sequence[_processes.MachineProcess],
+        down_s: float,
+        kind: _plan.FaultKind = _plan.FaultKind.KILL,
+    ) -> None:
+        for process in processes:
+            process.kill()
+            if kind == _plan.FaultKind.WIPE:
+                process.wipe()
+            elif kind == _plan.FaultKind.TORN:
+                process.tear_log()
+        await anyio.sleep(down_s)
+        for process in processes:
+            process.start()
+
+    async def _stop(
+        self, process: _processes.MachineProcess, down_s: float
+    ) -> None:
+        process.ask_to_stop()
+        with anyio.move_on_after(STOP_GRACE_S):
+            while process.ended_with() is None:
+                await anyio.sleep(ENDED_POLL_S)
+        process.kill()
+        await anyio.sleep(min(down_s, 1.0))
+        process.start()
+
+    async def _harm_links(
+        self,
+        kind: _plan.FaultKind,
+        process: _processes.MachineProcess,
+        for_s: float,
+    ) -> None:
+        pairs, state = self._harm(kind, process)
+        harmed = self._links.harm(frozenset(pairs), state)
+        await anyio.sleep(for_s)
+        self._links.mend(harmed)
+
+    def _harm(
+        self, kind: _plan.FaultKind, process: _processes.MachineProcess
+    ) -> tuple[set[tuple[str, str]], _links.LinkState]:
+        """Returns the directed links that a fault harms, and how."""
+        inside = {process.machine.bind_host}
+        if kind == _plan.FaultKind.CUT_DATA_CENTRE:
+            inside = {
+                other.machine.bind_host
+                for other in self._all
+                if other.machine.data_centre == process.machine.data_centre
+            }
+        outside = {other.machine.bind_host for other in self._all} - inside
+        incoming = {(there, here) for there in outside for here in inside}
+        outgoing = {(here, there) for here, there in _swapped(incoming)}
+        both = incoming | outgoing
+        cut = _links.LinkState(lost_share=1.0)
+        harms = {
+            _plan.FaultKind.CUT: (both, cut),
+            _plan.FaultKind.CUT_DATA_CENTRE: (both, cut),
+            _plan.FaultKind.CUT_IN: (incoming, cut),
+            _plan.FaultKind.CUT_OUT: (outgoing, cut),
+            _plan.FaultKind.LOSSY: (
+                both,
+                _links.LinkState(lost_share=LOST_SHARE),
+            ),
+            _plan.FaultKind.DELAY: (
+                both,
+                _links.LinkState(delay_s=LONG_DELAY_S),
+            ),
+            _plan.FaultKind.SILENCE: (
+                incoming,
+                _links.LinkState(is_silent=True),
+            ),
+            _plan.FaultKind.RESET: (incoming, _links.LinkState(is_reset=True)),
+        }
+        return harms[kind]
+
+
+_KILLS = frozenset(
+    {_plan.FaultKind.KILL, _plan.FaultKind.TORN, _plan.FaultKind.WIPE}
+)
+
+
+def _swapped(pairs: set[tuple[str, str]]) -> set[tuple[str, str]]:
+    return {(second, first) for first, second in pairs}
--- /dev/null
+++ b/bluebelltide/soak/_plan.py
@@ -0,0 +1,174 @@
+"""The faults of one soak, drawn from its seed.
+
+Pure. Faults come in series and overlap. Disks are lost one at a time and only
+once in a run, since the deployment tolerates one lost disk; everything else
+may hit any process at any moment.
+"""
+
+from enum import StrEnum
+import random
+from typing import NamedTuple
+
+CONTROLS = 4
+"""Control replicas of a soak; three of them vote."""
+ENTRIES = 4
+"""Entry instances of a soak."""
+DATA_CENTRES = 4
+"""Data centres; each has one control replica and one entry instance."""
+MEAN_GAP_S = 0.9
+"""The mean time between the starts of two faults."""
+SHORTEST_S = 0.3
+"""The shortest fault."""
+LONGEST_S = 4.0
+"""The longest fault."""
+
+
+class FaultKind(StrEnum):
+    """What goes wrong."""
+
+    PAUSE = "pause"
+    """A process stands still and goes on."""
+    KILL = "kill"
+    """A process is killed and started again."""
+    TORN = "torn"
+    """A control replica is killed and finds a torn record in its log."""
+    WIPE = "wipe"
+    """A control replica is killed and its files are lost."""
+    STOP = "stop"
+    """A process is asked to stop and started again."""
+    RELOAD = "reload"
+    """A process is told that its settings have changed."""
+    FULL_DISK = "full_disk"
+    """A control replica's files take no more bytes."""
+    CUT = "cut"
+    """A machine is cut off from all others, both ways."""
+    CUT_IN = "cut_in"
+    """Nothing reaches a machine from the others."""
+    CUT_OUT = "cut_out"
+    """Nothing from a machine reaches the others."""
+    CUT_DATA_CENTRE = "cut_data_centre"
+    """A data centre is cut off from the others."""
+    LOSSY = "lossy"
+    """A tenth of the datagrams to and from a machine are lost."""
+    DELAY = "delay"
+    """Everything to and from a machine takes 150 ms longer."""
+    SILENCE = "silence"
+    """Connections to a machine are accepted and stay silent."""
+    RESET = "reset"
+    """Connections to a machine are reset."""
+    KILL_CONTROLS = "kill_controls"
+    """All control replicas are killed right after an acknowledgement."""
+    KILL_ALL = "kill_all"
+    """All processes are killed."""
+    TARGET_CRASH = "target_crash"
+    """A target falls silent for good; a new one starts."""
+    TARGET_REUSE = "target_reuse"
+    """A target falls silent; its address goes to the other service."""
+    TARGET_RESTART = "target_restart"
+    """A target starts again under its id, without its flows."""
+    TARGET_LEAVE = "target_leave"
+    """A target drains and leaves; a new one starts."""
+
+
+_WEIGHTS = {
+    FaultKind.PAUSE: 4,
+    FaultKind.KILL: 5,
+    FaultKind.TORN: 2,
+    FaultKind.STOP: 4,
+    FaultKind.RELOAD: 1,
+    FaultKind.FULL_DISK: 2,
+    FaultKind.CUT: 3,
+    FaultKind.CUT_IN: 2,
+    FaultKind.CUT_OUT: 2,
+    FaultKind.CUT_DATA_CENTRE: 2,
+    FaultKind.LOSSY: 2,
+    FaultKind.DELAY: 2,
+    FaultKind.SILENCE: 2,
+    FaultKind.RESET: 2,
+    FaultKind.KILL_CONTROLS: 1,
+    FaultKind.KILL_ALL: 1,
+    FaultKind.TARGET_CRASH: 2,
+    FaultKind.TARGET_REUSE: 2,
+    FaultKind.TARGET_RESTART: 2,
+    FaultKind.TARGET_LEAVE: 4,
+}
+"""How often each kind comes; a wipe is drawn apart."""
+
+_ON_CONTROLS = {FaultKind.TORN, FaultKind.WIPE, FaultKind.FULL_DISK}
+
+
+class Fault(NamedTuple):
+    """One fault of a plan."""
+
+    at_s: float
+    """When it begins, from the start of the traffic."""
+    kind: FaultKind
+    """What goes wrong."""
+    victim: int
+    """Which machine or target, counted over all that the kind fits."""
+    for_s: float
+    """How long it lasts, or how long a killed process stays down."""
+
+    @property
+    def end_s(self) -> float:
+        """When it is over."""
+        return self.at_s + self.for_s
+
+
+def machine_count(kind: FaultKind) -> int:
+    """Returns how many machines a kind of fault may choose from."""
+    return CONTROLS if kind in _ON_CONTROLS else CONTROLS + ENTRIES
+
+
+def make_plan(seed: int, active_s: float) -> tuple[Fault, ...]:
+    """Draws the faults of a run.
+
+    Args:
+        seed: Decides everything.
+        active_s: How long faults may last, from the start of the traffic.
+
+    Returns:
+        The faults, by their start.
+    """
+    draw = random.Random(seed)
+    kinds = list(_WEIGHTS)
+    weights = list(_WEIGHTS.values())
+    faults = []
+    at_s = draw.uniform(0.5, 1.5)
+    while at_s < active_s - SHORTEST_S:
+        (kind,) = draw.choices(kinds, weights)
+        faults.append(_draw_fault(draw, at_s, active_s, kind))
+        if draw.random() < 0.25:
+            # Two at the same moment.
+            (kind,) = draw.choices(kinds, weights)
+            faults.append(_draw_fault(draw, at_s, active_s, kind))
+        at_s += draw.expovariate(1 / MEAN_GAP_S)
+    wipe_at_s = draw.uniform(1.0, max(1.1, active_s - LONGEST_S))
+    faults.append(_draw_fault(draw, wipe_at_s, active_s, FaultKind.WIPE))
+    return tuple(sorted(faults))
+
+
+def _draw_fault(
+    draw: random.Random, at_s: float, active_s: float, kind: FaultKind
+) -> Fault:
+    longest_s = max(SHORTEST_S, min(LONGEST_S, active_s - at_s))
+    for_s = draw.uniform(SHORTEST_S, longest_s)
+    victim = draw.randrange(machine_count(kind))
+    return Fault(round(at_s, 3), kind, victim, round(for_s, 3))
+
+
+def is_calm(
+    plan: tuple[Fault, ...], from_s: float, to_s: float, settle_s: float
+) -> bool:
+    """Returns whether no fault has harmed anything in a span of time.
+
+    Args:
+        plan: The faults.
+        from_s: When the span begins.
+        to_s: When it ends.
+        settle_s: How long a fault counts after its end.
+    """
+    return not any(
+        fault.at_s <= to_s and from_s <= fault.end_s + settle_s
+        for fault in plan
+    )
--- /dev/null
+++ b/bluebelltide/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak's plan, ledger and links."""
