--- a/bluebelltide/soak/_faults.py
+++ b/bluebelltide/soak/_faults.py
@@ -17,6 +17,8 @@
 """The share of datagrams that a lossy link loses."""
 LONG_DELAY_S = 0.15
 """How much longer everything takes on a slow link."""
+READ_AFTER_S = 6.0
+"""How long nothing is changed after all replicas were killed and are back."""
 ACKNOWLEDGED_WAIT_S = 3.0
 """How long to wait for an acknowledgement to strike at."""
 
@@ -50,6 +52,7 @@
         links: _links.Links,
         targets: TargetActions,
         next_acknowledged: Callable[[], anyio.Event],
+        hold_changes: Callable[[float], None],
     ) -> None:
         """Creates the runner.
 
@@ -60,12 +63,15 @@
             targets: What can happen to targets.
             next_acknowledged: Returns an event that the operators' next
                 acknowledgement sets.
+            hold_changes: Keeps operators from changes for some seconds, so
+                that what a mass kill lost can be read.
         """
         self._controls = controls
         self._all = [*controls, *entries]
         self._links = links
         self._targets = targets
         self._next_acknowledged = next_acknowledged
+        self._hold_changes = hold_changes
 
     async def run(self, fault: _plan.Fault) -> None:
         """Carries out one fault, from its start to its end."""
@@ -79,15 +85,13 @@
         if kind in self._targets.by_kind:
             self._targets.by_kind[kind](fault.victim)
         elif kind == _plan.FaultKind.KILL_CONTROLS:
-            with anyio.move_on_after(ACKNOWLEDGED_WAIT_S):
-                await self._next_acknowledged().wait()
-            await self._kill(self._controls, fault.for_s)
+            await self._kill_after_change(self._controls, fault.for_s)
         elif kind == _plan.FaultKind.KILL_ALL:
-            await self._kill(self._all, fault.for_s)
+            await self._kill_after_change(self._all, fault.for_s)
         elif kind in _KILLS:
             await self._kill([process], fault.for_s, kind)
         elif kind == _plan.FaultKind.STOP:
-            await self._stop(process, fault.for_s)
+            await self.stop(process, fault.for_s)
         elif kind == _plan.FaultKind.RELOAD:
             process.signal(signal.SIGHUP)
         elif kind == _plan.FaultKind.PAUSE:
@@ -117,9 +121,18 @@
         for process in processes:
             process.start()
 
-    async def _stop(
+    async def _kill_after_change(
+        self, processes: Sequence[_processes.MachineProcess], down_s: float
+    ) -> None:
+        with anyio.move_on_after(ACKNOWLEDGED_WAIT_S):
+            await self._next_acknowledged().wait()
+        self._hold_changes(down_s + READ_AFTER_S)
+        await self._kill(processes, down_s)
+
+    async def stop(
         self, process: _processes.MachineProcess, down_s: float
     ) -> None:
+        """Asks a process to stop, and starts it again."""
         process.ask_to_stop()
         with anyio.move_on_after(STOP_GRACE_S):
             while process.ended_with() is None:
--- a/bluebelltide/soak/_operators.py
+++ b/bluebelltide/soak/_operators.py
@@ -57,6 +57,11 @@
         self._probe_routes = probe_routes
         self._draw = draw
         self._version = 0
+        self._held_until_s = 0.0
+
+    def hold_changes(self, for_s: float) -> None:
+        """Begins no change for some seconds."""
+        self._held_until_s = max(self._held_until_s, self._clock() + for_s)
 
     def _next_change(self) -> tuple[int, _wire.HttpCall]:
         self._version += self._draw.randint(1, 4)
@@ -95,7 +100,9 @@
         """Changes, repeats and spoils deployments."""
         while self._clock() < until_s:
             action = self._draw.random()
-            if action < 0.15:
+            if self._clock() < self._held_until_s:
+                pass
+            elif action < 0.15:
                 await self._race()
             elif action < 0.25:
                 await self._spoil()
--- a/bluebelltide/soak/_plan.py
+++ b/bluebelltide/soak/_plan.py
@@ -21,6 +21,12 @@
 """The shortest fault."""
 LONGEST_S = 4.0
 """The longest fault."""
+LONGEST_DELAY_S = 4.0
+"""How much longer than planned a fault may take."""
+QUIET_S = 14.0
+"""The pause between two series of faults, in which bounds in time hold."""
+SERIES = 2
+"""How many series of faults a run has."""
 
 
 class FaultKind(StrEnum):
@@ -59,7 +65,7 @@
     KILL_CONTROLS = "kill_controls"
     """All control replicas are killed right after an acknowledgement."""
     KILL_ALL = "kill_all"
-    """All processes are killed."""
+    """All processes are killed right after an acknowledgement."""
     TARGET_CRASH = "target_crash"
     """A target falls silent for good; a new one starts."""
     TARGET_REUSE = "target_reuse"
@@ -94,6 +100,14 @@
 }
 """How often each kind comes; a wipe is drawn apart."""
 
+_DELAYS_S = {
+    FaultKind.STOP: LONGEST_DELAY_S,
+    FaultKind.KILL_CONTROLS: 3.0,
+    FaultKind.KILL_ALL: 3.0,
+}
+"""How much longer a fault may take: a graceful stop, or the wait for the
+acknowledgement after which it strikes."""
+
 _ON_CONTROLS = {FaultKind.TORN, FaultKind.WIPE, FaultKind.FULL_DISK}
 
 
@@ -111,8 +125,8 @@
 
     @property
     def end_s(self) -> float:
-        """When it is over."""
-        return self.at_s + self.for_s
+        """When it is over at the latest."""
+        return self.at_s + self.for_s + _DELAYS_S.get(self.kind, 0.0)
 
 
 def machine_count(kind: FaultKind) -> int:
@@ -125,33 +139,56 @@
 
     Args:
         seed: Decides everything.
-        active_s: How long faults may last, from the start of the traffic.
+        active_s: How long faults may last, all series together.
 
     Returns:
         The faults, by their start.
     """
     draw = random.Random(seed)
+    series_s = active_s / SERIES
+    wiped = draw.randrange(SERIES)
+    faults: list[Fault] = []
+    for number in range(SERIES):
+        begin_s = number * (series_s + QUIET_S)
+        faults += _draw_series(draw, begin_s, begin_s + series_s)
+        if number == wiped:
+            at_s = begin_s + draw.uniform(0.1, 0.7) * series_s
+            fault = _draw_fault(draw, at_s, begin_s + series_s, FaultKind.WIPE)
+            faults.append(fault)
+    return tuple(sorted(faults))
+
+
+def quiet_times(active_s: float) -> list[float]:
+    """Returns when the pauses between the series of faults begin."""
+    series_s = active_s / SERIES
+    return [
+        (number + 1) * series_s + number * QUIET_S
+        for number in range(SERIES - 1)
+    ]
+
+
+def _draw_series(
+    draw: random.Random, begin_s: float, end_s: float
+) -> list[Fault]:
     kinds = list(_WEIGHTS)
     weights = list(_WEIGHTS.values())
     faults = []
-    at_s = draw.uniform(0.5, 1.5)
-    while at_s < active_s - SHORTEST_S:
+    at_s = begin_s + draw.uniform(0.3, 1.0)
+    while at_s < end_s - SHORTEST_S:
         (kind,) = draw.choices(kinds, weights)
-        faults.append(_draw_fault(draw, at_s, active_s, kind))
+        faults.append(_draw_fault(draw, at_s, end_s, kind))
         if draw.random() < 0.25:
             # Two at the same moment.
             (kind,) = draw.choices(kinds, weights)
-            faults.append(_draw_fault(draw, at_s, active_s, kind))
+            faults.append(_draw_fault(draw, at_s, end_s, kind))
         at_s += draw.expovariate(1 / MEAN_GAP_S)
-    wipe_at_s = draw.uniform(1.0, max(1.1, active_s - LONGEST_S))
-    faults.append(_draw_fault(draw, wipe_at_s, active_s, FaultKind.WIPE))
-    return tuple(sorted(faults))
+    return faults
 
 
 def _draw_fault(
-    draw: random.Random, at_s: float, active_s: float, kind: FaultKind
+    draw: random.Random, at_s: float, end_s: float, kind: FaultKind
 ) -> Fault:
-    longest_s = max(SHORTEST_S, min(LONGEST_S, active_s - at_s))
+    longest_s = max(SHORTEST_S, min(LONGEST_S, end_s - at_s))
     for_s = draw.uniform(SHORTEST_S, longest_s)
     victim = draw.randrange(machine_count(kind))
     return Fault(round(at_s, 3), kind, victim, round(for_s, 3))
--- a/bluebelltide/soak/_run.py
+++ b/bluebelltide/soak/_run.py
@@ -33,7 +33,7 @@
 """How many control replicas the settings name."""
 START_TIMEOUT_S = 20.0
 """How long the deployment may take until every instance is ready."""
-CALM_AFTER_S = 4.0
+CALM_AFTER_S = 7.0
 """Time after the recovery bound in which every request must be served."""
 OVERDUE_S = 15.0
 """How long requests may take after the last one began."""
@@ -325,11 +325,12 @@
                 )
                 users.start_soon(self.operators.keep_changing, ends_s - 2)
                 users.start_soon(self.operators.keep_reading, ends_s)
-                users.start_soon(self._strike)
+                users.start_soon(self._strike, last_fault_s)
         await self.operators.read_at_end()
         self.ledger.check_recovery(last_fault_s, ends_s)
 
-    async def _strike(self) -> None:
+    async def _strike(self, last_fault_s: float) -> None:
+        """Carries out the plan, and routine changes while it is calm."""
         runner = _faults.FaultRunner(
             self.controls,
             self.entries,
@@ -341,11 +342,24 @@
                 self.leave_target,
             ),
             lambda: self.acknowledged,
+            self.operators.hold_changes,
         )
         async with anyio.create_task_group() as faults:
+            for quiet_s in _plan.quiet_times(self.options.active_s):
+                leave_s = quiet_s + _plan.LONGEST_DELAY_S + _ledger.SETTLE_S
+                faults.start_soon(self._leave_at, leave_s)
             for fault in self.plan:
                 await anyio.sleep(max(0.0, fault.at_s - self.clock()))
                 faults.start_soon(functools.partial(runner.run, fault))
+            stop_s = last_fault_s + _ledger.RECOVERY_S
+            faults.start_soon(self._leave_at, stop_s)
+            await anyio.sleep(max(0.0, stop_s - self.clock()))
+            # A planned stop cuts no request.
+            await runner.stop(self.draw.choice(self.entries), 0.5)
+
+    async def _leave_at(self, at_s: float) -> None:
+        await anyio.sleep(max(0.0, at_s - self.clock()))
+        self.leave_target(self.draw.randrange(len(self.targets)))
 
     def report(self, folder: str) -> SoakReport:
         outcomes = Counter(
--- a/bluebelltide/soak/tests/test_plan.py
+++ b/bluebelltide/soak/tests/test_plan.py
@@ -13,9 +13,21 @@
 ) -> None:
     plan = _plan.make_plan(seed, 20.0)
     assert plan == _plan.make_plan(seed, 20.0)
-    assert all(0 <= fault.at_s < 20.0 for fault in plan)
-    limit_s = 20.0 + _plan.SHORTEST_S
-    assert all(fault.end_s <= limit_s for fault in plan)
+    limit_s = 20.0 + _plan.QUIET_S
+    assert all(0 <= fault.at_s < limit_s for fault in plan)
+    longest_s = _plan.SHORTEST_S + _plan.LONGEST_DELAY_S
+    assert all(fault.end_s <= limit_s + longest_s for fault in plan)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_nothing_happens_between_the_series(seed: int) -> None:
+    plan = _plan.make_plan(seed, 20.0)
+    (quiet_s,) = _plan.quiet_times(20.0)
+    begins_s = quiet_s + _plan.SHORTEST_S + _plan.LONGEST_DELAY_S
+    ends_s = quiet_s + _plan.QUIET_S
+    assert _plan.is_calm(plan, begins_s, ends_s, settle_s=0.0)
+    assert any(fault.at_s < quiet_s for fault in plan)
+    assert any(fault.at_s > ends_s for fault in plan)
 
 
 @pytest.mark.parametrize("seed", range(20))
