A restarted replica offers entry instances what it last knew

Cause: after all lose power, instances are up 0.3 s before a quorum has confirmed the deployment; until then they have no routes. Replicas without a vote forgot the deployment altogether. Change: Fetch may ask for an unconfirmed state: what a voter accepted, or the copy that another replica now keeps on disk. Instances only go forward, and fetch the same version again once it is committed, since other content may have won. While they start they poll all replicas each 50 ms, not one.

--- a/bluebelltide/control/_deployments.py
+++ b/bluebelltide/control/_deployments.py
@@ -16,11 +16,13 @@
 import anyio.abc
 import anyio.streams.memory
 
+from bluebelltide import _exceptions
 from bluebelltide import _metrics
 from bluebelltide import _types
 from bluebelltide._events import events
 from bluebelltide.catalogue import _deployment
 from bluebelltide.catalogue import _register
+from bluebelltide.catalogue import _remembered
 from bluebelltide.catalogue import _store
 from bluebelltide.control import _voters
 from bluebelltide.news import _calls
@@ -108,6 +110,7 @@
         self._metrics = metrics
         self._slots: dict[str, _register.Slot] = {}
         self._committed: dict[str, _register.RegisterState] = {}
+        self._remembered = _register.RegisterState()
         self._write_lock = anyio.Lock()
         self._proposal_lock = anyio.Lock()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -131,6 +134,10 @@
         initial = self._slots.get(_voters.VOTERS_KEY)
         if initial is not None and initial.accepted_ballot.proposer == "":
             self._committed[_voters.VOTERS_KEY] = initial.state
+        try:
+            self._remembered = _remembered.read_deployment(folder)
+        except _exceptions.BluebelltideError as error:
+            events.write("deployment_not_recovered", error=str(error))
 
     def _create_identity(self) -> str:
         """Names an empty data folder.
@@ -183,6 +190,37 @@
         """Returns the newest committed state that is known here."""
         return self._committed.get(key, _register.RegisterState())
 
+    def offered(self, key: str) -> _register.RegisterState:
+        """Returns the newest state that an entry instance may begin with.
+
+        After a restart it is not known to be committed, or the newest. An
+        instance that has none serves its callers with it until it hears of a
+        newer one; instances never go back to an older version.
+        """
+        states = [self.committed(key)]
+        if key in self._slots:
+            states.append(self._slots[key].state)
+        if key == _deployment.DEPLOYMENT_KEY:
+            states.append(self._remembered)
+        # Of equal versions the committed state comes first.
+        return max(states, key=lambda state: state.version)
+
+    def unremembered(self) -> _register.RegisterState | None:
+        """Returns the deployment if it would be lost by a restart here."""
+        state = self.committed(_deployment.DEPLOYMENT_KEY)
+        slot = self._slots.get(_deployment.DEPLOYMENT_KEY, _register.Slot())
+        kept_version = max(slot.state.version, self._remembered.version)
+        return state if state.version > kept_version else None
+
+    def remember(self, state: _register.RegisterState) -> None:
+        """Keeps a deployment for the next start; blocks on the disk.
+
+        Raises:
+            OSError: If the disk refuses.
+        """
+        _remembered.write_deployment(self._settings.data_folder, state)
+        self._remembered = state
+
     def learn(self, key: str, state: _register.RegisterState) -> bool:
         """Takes a committed state; returns whether it is news."""
         if state.version <= self.committed(key).version:
@@ -217,7 +255,11 @@
             The answer, or None if this replica must not answer.
         """
         if isinstance(request, _calls.Fetch):
-            return _calls.Fetched(self.committed(request.key))
+            committed = self.committed(request.key)
+            if not request.may_be_unconfirmed:
+                return _calls.Fetched(committed)
+            offered = self.offered(request.key)
+            return _calls.Fetched(offered, offered.version == committed.version)
         voters = self.voters
         if receiver != self.identity or voters is None:
             return None
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -16,6 +16,7 @@
 from bluebelltide import _types
 from bluebelltide._events import events
 from bluebelltide.catalogue import _deployment
+from bluebelltide.catalogue import _register
 from bluebelltide.catalogue import _store
 from bluebelltide.control import _deployments
 from bluebelltide.control import _newsdesk
@@ -37,7 +38,8 @@
 WARM_AFTER_LEASE_SHARE = 0.125
 """Part of a target's lease in which every live target announces itself."""
 STORE_INTERVAL_MS = 700
-"""Time between two looks at whether the file of targets is out of date."""
+"""Time between two looks at whether the files for the next start are out of
+date."""
 FETCH_TIMEOUT_MS = 1500
 """How long fetching a committed state from a replica may take."""
 FORGET_REPLICA_MS = 60_000
@@ -108,7 +110,7 @@
         tasks.start_soon(listener.serve, self._serve_call)
         tasks.start_soon(self._poll_forever)
         tasks.start_soon(self._plan_forever)
-        tasks.start_soon(self._store_targets_forever)
+        tasks.start_soon(self._store_known_forever)
         events.write("started", identity=self._own.identity)
 
     def close(self) -> None:
@@ -167,22 +169,33 @@
         self._stored_index = self.directory.last_index
         events.write("targets_recovered", records=len(records))
 
-    async def _store_targets_forever(self) -> None:
-        folder = self._settings.data_folder
+    async def _store_known_forever(self) -> None:
+        """Keeps for the next start what is known besides the vote."""
         while True:
             await anyio.sleep(STORE_INTERVAL_MS / 1000)
-            index = self.directory.last_index
-            if index == self._stored_index:
-                continue
-            try:
-                await anyio.to_thread.run_sync(
-                    _target_file.write_targets,
-                    folder,
-                    self.directory.records(),
-                )
-            except OSError as error:
-                events.write("targets_not_stored", error=str(error))
-            self._stored_index = index
+            if self.directory.last_index != self._stored_index:
+                await self._store_targets()
+            state = self.deployments.unremembered()
+            if state is not None:
+                await self._store_deployment(state)
+
+    async def _store_targets(self) -> None:
+        index = self.directory.last_index
+        try:
+            await anyio.to_thread.run_sync(
+                _target_file.write_targets,
+                self._settings.data_folder,
+                self.directory.records(),
+            )
+        except OSError as error:
+            events.write("targets_not_stored", error=str(error))
+        self._stored_index = index
+
+    async def _store_deployment(self, state: _register.RegisterState) -> None:
+        try:
+            await anyio.to_thread.run_sync(self.deployments.remember, state)
+        except OSError as error:
+            events.write("deployment_not_stored", error=str(error))
 
     def _is_warm(self) -> bool:
         if self._recovered_targets:
@@ -200,6 +213,7 @@
             self._document_version(),
             0 if voters is None else voters.version,
             self._is_warm(),
+            self.deployments.offered(_deployment.DEPLOYMENT_KEY).version,
         )
 
     def _tell_all(self) -> None:
--- a/bluebelltide/control/_newsdesk.py
+++ b/bluebelltide/control/_newsdesk.py
@@ -29,6 +29,8 @@
     """The version of the committed voter set; 0 if none is known."""
     is_warm: bool
     """Whether every live target had time to announce itself."""
+    offered_version: int = 0
+    """The version of the deployment that entry instances may fetch."""
 
 
 class Told(NamedTuple):
@@ -105,6 +107,7 @@
             self._other_entries(poll, True, now_ms),
             self._other_entries(poll, False, now_ms),
             tuple(change.record for change in batch),
+            known.offered_version,
         )
 
     def tell_all(self, known: Known, now_ms: int) -> list[Told]:
--- a/bluebelltide/control/tests/test_deployments.py
+++ b/bluebelltide/control/tests/test_deployments.py
@@ -121,6 +121,59 @@
     anyio.run(run)
 
 
+def test_a_restarted_replica_offers_what_it_last_knew(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def run() -> None:
+        async with open_network(tmp_path, monkeypatch) as network:
+            first = network.replicas[SEEDS[0]]
+            spare = network.start("10.0.0.4", first=False)
+            assert (await first.put(5, b"five")).is_certain
+            network.spread()
+            state = spare.unremembered()
+            assert state is not None
+            spare.remember(state)
+            assert spare.unremembered() is None
+            # Voters find the state in their logs.
+            voters = [
+                host
+                for host in SEEDS
+                if network.replicas[host].unremembered() is None
+            ]
+            assert len(voters) >= 2
+
+            network.cut = {*SEEDS, "10.0.0.4"}
+            for host in (voters[0], "10.0.0.4"):
+                network.replicas[host].close()
+                again = network.start(host, first=False)
+                wanted = _calls.Fetch(KEY, may_be_unconfirmed=True)
+                answer = await again.handle("", wanted)
+                assert isinstance(answer, _calls.Fetched)
+                assert answer.state.value == b"five"
+                # Nobody is told that it is committed or the newest.
+                assert not answer.is_committed
+                plain = await again.handle("", _calls.Fetch(KEY))
+                assert isinstance(plain, _calls.Fetched)
+                assert plain.state.version == 0
+                assert not (await again.read()).is_certain
+
+    anyio.run(run)
+
+
+def test_a_damaged_copy_of_the_deployment_is_no_harm(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def run() -> None:
+        async with open_network(tmp_path, monkeypatch) as network:
+            spare = network.start("10.0.0.4", first=False)
+            spare.close()
+            (tmp_path / "10.0.0.4" / "deployment").write_bytes(b"\xff")
+            again = network.start("10.0.0.4", first=False)
+            assert again.offered(KEY).version == 0
+
+    anyio.run(run)
+
+
 def test_a_wiped_voter_has_another_identity_and_no_vote(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -29,7 +29,8 @@
 POLL_INTERVAL_MS = 200
 """Time between two polls, of one replica after the other."""
 STARTING_POLL_INTERVAL_MS = 50
-"""The same, while routes or targets are not known."""
+"""Time between two polls of all replicas, while routes or targets are not
+known."""
 NEAR_REPORT_MS = 10
 """Shortest time between two load reports inside the data centre."""
 FAR_REPORT_MS = 150
@@ -130,6 +131,7 @@
         self._is_warm = False
         self._is_stopping = False
         self._is_fetching = False
+        self._is_confirmed = False
         self._near_peers: tuple[str, ...] = ()
         self._far_peers: tuple[str, ...] = ()
         self._reports: dict[str, _PeerReport] = {}
@@ -260,9 +262,18 @@
             events.write("targets_complete", replica=update.replica.identity)
         if has_news:
             self._use_targets()
-        if update.document_version > self._version():
+        if self._wants_deployment(update):
             self._fetch_soon(update.replica.host)
 
+    def _wants_deployment(self, update: _messages.Update) -> bool:
+        """Returns whether a replica has a deployment to be fetched."""
+        version = self._version()
+        if max(update.document_version, update.offered_version) > version:
+            return True
+        # Other content may have been committed under the same version.
+        is_settled = self._is_confirmed or version < 0
+        return not is_settled and update.document_version == version
+
     def _fetch_soon(self, host: str) -> None:
         if not self._is_fetching and self._tasks is not None:
             self._is_fetching = True
@@ -283,12 +294,12 @@
         return -1 if routes is None else routes.deployment.version
 
     async def _fetch(self, host: str) -> None:
-        """Fetches the newest committed deployment from a replica."""
+        """Fetches the newest deployment that a replica offers."""
         try:
             answer = await _calls.call(
                 _types.Address(host, self._settings.port),
                 "",
-                _calls.Fetch(_deployment.DEPLOYMENT_KEY),
+                _calls.Fetch(_deployment.DEPLOYMENT_KEY, True),
                 FETCH_TIMEOUT_MS,
                 self._settings.bind_host,
             )
@@ -298,10 +309,12 @@
             self._metrics.count("fetch", "failed")
             return
         state = answer.state
-        if state.version > self._version() and state.value is not None:
-            self._use_deployment(state.value)
+        is_newer = state.version > self._version()
+        confirms = state.version == self._version() and answer.is_committed
+        if state.value is not None and (is_newer or confirms):
+            self._use_deployment(state.value, answer.is_committed)
 
-    def _use_deployment(self, value: bytes) -> None:
+    def _use_deployment(self, value: bytes, is_committed: bool) -> None:
         try:
             body = _deployment.expand_document(value, _http1.MAXIMUM_BODY_BYTES)
             deployment = self._read_deployment(body)
@@ -310,7 +323,12 @@
             events.write("deployment_unreadable", error=str(error))
             return
         self._front.routes = _deployment.RouteTable(deployment)
-        events.write("deployment_in_force", version=deployment.version)
+        self._is_confirmed = is_committed
+        events.write(
+            "deployment_in_force",
+            version=deployment.version,
+            is_confirmed=is_committed,
+        )
 
     def _send_news(self, host: str, news: _messages.News) -> None:
         assert self._news is not None
@@ -322,15 +340,15 @@
         self._send_news(host, self._follower.poll(host))
 
     async def _poll_forever(self) -> None:
-        while True:
-            host = self._follower.next_host(_clock.now_ms())
-            if host is not None:
+        while not (self._is_warm and self._front.routes is not None):
+            for host in self._follower.hosts(_clock.now_ms()):
                 self._send_poll(host)
-            is_started = self._is_warm and self._front.routes is not None
-            interval_ms = (
-                POLL_INTERVAL_MS if is_started else STARTING_POLL_INTERVAL_MS
-            )
-            await anyio.sleep(interval_ms / 1000)
+            await anyio.sleep(STARTING_POLL_INTERVAL_MS / 1000)
+        while True:
+            next_host = self._follower.next_host(_clock.now_ms())
+            if next_host is not None:
+                self._send_poll(next_host)
+            await anyio.sleep(POLL_INTERVAL_MS / 1000)
 
     async def _report_forever(self) -> None:
         far_due_ms = 0
--- a/bluebelltide/entry/tests/test_direct_service.py
+++ b/bluebelltide/entry/tests/test_direct_service.py
@@ -4,6 +4,7 @@
 
 from bluebelltide import _metrics
 from bluebelltide import _types
+from bluebelltide.catalogue import _deployment
 from bluebelltide.entry import _direct_service
 from bluebelltide.fronts.tests import test_tagged
 from bluebelltide.membership import _directory
@@ -40,6 +41,47 @@
     )
 
 
+def make_update(committed: int, offered: int) -> _messages.Update:
+    return _messages.Update(
+        _messages.Replica("10.0.0.1~0", "north"),
+        run_id=7,
+        first_index=0,
+        last_index=0,
+        has_more=False,
+        is_warm=True,
+        document_version=committed,
+        voters_version=1,
+        replicas=(),
+        near_entries=(),
+        far_entries=(),
+        records=(),
+        offered_version=offered,
+    )
+
+
+@pytest.mark.parametrize(
+    ("held", "is_confirmed", "committed", "offered", "wants"),
+    [
+        (-1, False, 0, 4, True),
+        (4, False, 0, 4, False),
+        # Other content may have won under the same version.
+        (4, False, 4, 4, True),
+        (4, True, 4, 4, False),
+        (4, False, 3, 3, False),
+        (4, True, 5, 5, True),
+    ],
+)
+def test_an_unconfirmed_deployment_is_fetched_again_once_it_is_committed(
+    held: int, is_confirmed: bool, committed: int, offered: int, wants: bool
+) -> None:
+    entry = make_entry()
+    if held >= 0:
+        deployment = test_tagged.DEPLOYMENT._replace(version=held)
+        entry._front.routes = _deployment.RouteTable(deployment)
+    entry._is_confirmed = is_confirmed
+    assert entry._wants_deployment(make_update(committed, offered)) is wants
+
+
 def test_targets_that_left_long_ago_make_room_for_new_ones(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/bluebelltide/news/_calls.py
+++ b/bluebelltide/news/_calls.py
@@ -51,17 +51,22 @@
 
 
 class Fetch(NamedTuple):
-    """Asks any replica for the newest committed state of a register."""
+    """Asks any replica for the newest state of a register."""
 
     key: str
     """The register's key."""
+    may_be_unconfirmed: bool = False
+    """Whether a state will do of which the replica doesn't know yet whether
+    it is committed, or the newest."""
 
 
 class Fetched(NamedTuple):
-    """A committed state; version 0 if nothing is known."""
+    """A state; version 0 if nothing is known."""
 
     state: _register.RegisterState
     """The state."""
+    is_committed: bool = True
+    """Whether the state is known to be committed."""
 
 
 Request = _register.Prepare | _register.Accept | Query | Fetch
--- a/bluebelltide/news/_messages.py
+++ b/bluebelltide/news/_messages.py
@@ -78,6 +78,9 @@
     """Other entry instances elsewhere."""
     records: tuple[_directory.TargetRecord, ...]
     """What changed since the poll's index."""
+    offered_version: int = 0
+    """The deployment that entry instances may fetch. After a restart it may
+    be newer than the committed one that is known, or out of date."""
 
 
 class LoadReport(NamedTuple):
