A flow that moves between instances counts once

Cause: with a hash that moves nearly all flows whenever an instance joins or leaves, each flow was counted at every instance that had seen it for 0.8 s. After an outage the estimate for a target of 2 slots stood at 65 flows. Change: a flow that came from another instance counts here only once the other has stopped to count it; if it ends before, its end is reported against that count. The sum over instances is then right at every moment. Test: a flow that moves up to three times sums to one until its end, to none after; it replaces the test that a moved flow counts at once where it arrives.

--- a/bluebelltide/placement/_observations.py
+++ b/bluebelltide/placement/_observations.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from collections.abc import Iterable
+import heapq
 from typing import NamedTuple
 
 FlowKey = bytes
@@ -20,7 +21,7 @@
 """Upper bound of the time for which a target is set aside."""
 FLOW_IDLE_MS = 800
 """How long a flow without packets counts as open; it may have gone on through
-another instance, where it is counted, too."""
+another instance, which counts it only after the same time."""
 OPENING_MS = 1500
 """How long a caller repeats its opening packet."""
 ANSWER_MS = 80
@@ -28,7 +29,12 @@
 
 
 class SeenFlow:
-    """One flow that this instance believes to be open."""
+    """One flow that this instance believes to be open.
+
+    A flow that was opened through another instance is counted there for
+    FLOW_IDLE_MS after its last packet, so it is counted here only after that.
+    If it ends before, its end is reported against the other's count.
+    """
 
     __slots__ = (
         "has_ended",
@@ -37,6 +43,7 @@
         "is_counted",
         "opened_ms",
         "token",
+        "was_opened_here",
     )
 
     def __init__(self, token: int, now_ms: int, is_answered: bool) -> None:
@@ -45,7 +52,8 @@
         self.opened_ms = now_ms
         self.heard_ms = now_ms
         self.is_answered = is_answered
-        self.is_counted = True
+        self.was_opened_here = not is_answered
+        self.is_counted = self.was_opened_here
         self.has_ended = False
 
 
@@ -71,6 +79,7 @@
     def __init__(self) -> None:
         """Creates the state of an instance that has seen nothing."""
         self.open_flows: dict[int, int] = {}
+        self._ended_early: list[tuple[int, int]] = []
         self._flows: dict[FlowKey, SeenFlow] = {}
         self._unanswered: deque[tuple[FlowKey, SeenFlow]] = deque()
         self._health: dict[int, TargetHealth] = {}
@@ -85,7 +94,7 @@
         flow = SeenFlow(token, now_ms, is_answered=False)
         self._flows[key] = flow
         self._unanswered.append((key, flow))
-        self.open_flows[token] = self.open_flows.get(token, 0) + 1
+        self._change_count(token, 1)
 
     def heard(self, key: FlowKey, token: int, now_ms: int) -> SeenFlow | None:
         """Notes a packet that carries a token, which proves an answer.
@@ -107,7 +116,6 @@
             # The flow was opened through another instance.
             flow = SeenFlow(token, now_ms, is_answered=True)
             self._flows[key] = flow
-            self.open_flows[token] = self.open_flows.get(token, 0) + 1
             return None
         flow.heard_ms = now_ms
         if flow.is_answered or flow.has_ended:
@@ -115,7 +123,7 @@
         flow.is_answered = True
         if not flow.is_counted:
             flow.is_counted = True
-            self.open_flows[token] = self.open_flows.get(token, 0) + 1
+            self._change_count(token, 1)
         self._health[token] = TargetHealth(answered_ms=now_ms)
         return flow
 
@@ -137,7 +145,7 @@
         """Keeps a flow for its copies, but not as a load on its target."""
         if flow.is_counted:
             flow.is_counted = False
-            self._release(flow.token)
+            self._change_count(flow.token, -1)
 
     def _suspect(self, flow: SeenFlow, now_ms: int) -> None:
         health = self._health.get(flow.token, NOTHING_SEEN)
@@ -168,11 +176,17 @@
         flow = self._flows.get(key)
         if flow is None:
             flow = SeenFlow(token, now_ms, is_answered=True)
-            flow.is_counted = False
             self._flows[key] = flow
         flow.heard_ms = now_ms
+        is_first_end = not flow.has_ended
         flow.has_ended = True
-        self._stop_counting(flow)
+        if flow.is_counted:
+            self._stop_counting(flow)
+        elif is_first_end and not flow.was_opened_here:
+            # Another instance counts the flow for a while longer.
+            self._change_count(flow.token, -1)
+            until_ms = flow.opened_ms + FLOW_IDLE_MS
+            heapq.heappush(self._ended_early, (until_ms, flow.token))
         return flow
 
     def _forget(self, key: FlowKey) -> None:
@@ -180,10 +194,10 @@
         if flow is not None:
             self._stop_counting(flow)
 
-    def _release(self, token: int) -> None:
-        left = self.open_flows.get(token, 1) - 1
-        if left > 0:
-            self.open_flows[token] = left
+    def _change_count(self, token: int, change: int) -> None:
+        count = self.open_flows.get(token, 0) + change
+        if count:
+            self.open_flows[token] = count
         else:
             self.open_flows.pop(token, None)
 
@@ -222,13 +236,32 @@
         ]
 
     def expire(self, now_ms: int) -> None:
-        """Forgets flows that have been idle for too long."""
+        """Forgets flows that have been idle for too long.
+
+        It also begins to count flows that came from another instance, which
+        has stopped to count them by now.
+        """
+        ended = self._ended_early
+        while ended and ended[0][0] <= now_ms:
+            _, token = heapq.heappop(ended)
+            self._change_count(token, 1)
         for key, flow in list(self._flows.items()):
             # A caller repeats its opening packet for longer than a flow in
             # use is silent.
             limit_ms = FLOW_IDLE_MS if flow.is_answered else OPENING_MS
             if now_ms - flow.heard_ms > limit_ms:
                 self._forget(key)
+            elif self._has_come_over(flow, now_ms):
+                flow.is_counted = True
+                self._change_count(flow.token, 1)
+
+    @staticmethod
+    def _has_come_over(flow: SeenFlow, now_ms: int) -> bool:
+        """Returns whether a flow is counted here from now on."""
+        is_elsewhere = flow.was_opened_here or flow.is_counted
+        if is_elsewhere or flow.has_ended or flow.heard_ms == flow.opened_ms:
+            return False
+        return now_ms - flow.opened_ms >= FLOW_IDLE_MS
 
 
 def _set_aside(health: TargetHealth, now_ms: int) -> TargetHealth:
--- a/bluebelltide/placement/_openings.py
+++ b/bluebelltide/placement/_openings.py
@@ -135,7 +135,7 @@
         self, token: int, target: _types.Target
     ) -> _choice.Candidate:
         own_flows = self.observations.open_flows.get(token, 0)
-        open_flows = own_flows + self.peer_flows.get(token, 0)
+        open_flows = max(0, own_flows + self.peer_flows.get(token, 0))
         if self.observations.is_suspect(token):
             # One flow at a time tries a target that was silent.
             open_flows += target.slots * (1 + own_flows)
