Late callers wait for slots that nobody else needs

Cause: after an outage all callers come back at once, fill the lines of the targets, and whoever comes now is late or shed, too. Change: an opening whose caller is late in any line gets only a free slot; else it is held, until just before the caller's next copy, the last copy for 600 ms. Held openings take their instance's share of the free slots, the longest wait first, at each end of a flow and each 10 ms. While flows are held, reports to other data centres go out each 20 ms, within a budget. How long flows take is learned from those that found a free slot. Test: the load after an outage, played: all served, shed less than a quarter.

--- a/bluebelltide/_codes.py
+++ b/bluebelltide/_codes.py
@@ -77,6 +77,8 @@
     """The answer is from a target that does not own the flow."""
     NO_TARGET = "no_target"
     """No target of the service accepts the flow."""
+    NO_SLOT = "no_slot"
+    """No slot came free for a late caller; its next copy is due."""
     UNKNOWN_TARGET = "unknown_target"
     """The flow's target is not in this instance's registry."""
     SEND_FAILED = "send_failed"
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -39,6 +39,12 @@
 """How many reports an instance sends inside its data centre."""
 FAR_REPORTS_PER_S = 40
 """How many reports an instance sends to other data centres."""
+BUSY_FAR_REPORT_MS = 20
+"""Shortest time between reports to other data centres while flows wait."""
+BUSY_FAR_REPORTS_PER_S = 300
+"""How many reports an instance sends there while flows wait."""
+RELEASE_MS = 10
+"""Time between two looks at flows that wait for a free slot."""
 REPORT_KEPT_MS = 1000
 """How long a peer's load report counts."""
 FETCH_TIMEOUT_MS = 1000
@@ -214,6 +220,7 @@
             own_flows=placement.own_flows,
             peer_flows=placement.peer_flows,
             candidates=placement.candidates,
+            held_ms=report.held_ms,
         )
 
     def _report_request(self, report: _tagged.RequestReport) -> None:
@@ -331,8 +338,10 @@
         )
 
     def _send_news(self, host: str, news: _messages.News) -> None:
+        self._send_datagram(host, _messages.encode_news(news))
+
+    def _send_datagram(self, host: str, data: bytes) -> None:
         assert self._news is not None
-        data = _messages.encode_news(news)
         if not self._news.send(data, (host, self._settings.port)):
             self._metrics.count("dropped", "send_failed")
 
@@ -350,24 +359,39 @@
                 self._send_poll(next_host)
             await anyio.sleep(POLL_INTERVAL_MS / 1000)
 
+    def _report_intervals_ms(self) -> tuple[int, int]:
+        """Returns the times between reports, near and far."""
+        far_ms, far_per_s = FAR_REPORT_MS, FAR_REPORTS_PER_S
+        if self._front.held_count:
+            # Instances that share scarce slots must know of each other's
+            # flows sooner.
+            far_ms, far_per_s = BUSY_FAR_REPORT_MS, BUSY_FAR_REPORTS_PER_S
+        return (
+            report_interval_ms(
+                len(self._near_peers), NEAR_REPORT_MS, NEAR_REPORTS_PER_S
+            ),
+            report_interval_ms(len(self._far_peers), far_ms, far_per_s),
+        )
+
     async def _report_forever(self) -> None:
-        far_due_ms = 0
+        near_told_ms = far_told_ms = 0
         told: _messages.LoadReport | None = None
         while True:
-            near_ms = report_interval_ms(
-                len(self._near_peers), NEAR_REPORT_MS, NEAR_REPORTS_PER_S
-            )
-            await anyio.sleep(near_ms / 1000)
+            near_ms, far_ms = self._report_intervals_ms()
+            is_holding = self._front.held_count > 0
+            wait_ms = min(near_ms, RELEASE_MS) if is_holding else near_ms
+            await anyio.sleep(wait_ms / 1000)
             now_ms = _clock.now_ms()
+            self._front.release_held(now_ms)
             report = self._load_report(now_ms)
-            is_far_due = now_ms >= far_due_ms
-            if report != told or is_far_due:
+            is_far_due = now_ms - far_told_ms >= far_ms
+            is_near_due = now_ms - near_told_ms >= near_ms
+            if is_far_due or (is_near_due and report != told):
                 told = report
+                near_told_ms = now_ms
                 self._send_report(self._near_peers, report)
             if is_far_due:
-                far_due_ms = now_ms + report_interval_ms(
-                    len(self._far_peers), FAR_REPORT_MS, FAR_REPORTS_PER_S
-                )
+                far_told_ms = now_ms
                 self._send_report(self._far_peers, report)
                 self._sum_reports(now_ms)
 
@@ -382,8 +406,9 @@
     def _send_report(
         self, hosts: tuple[str, ...], report: _messages.LoadReport
     ) -> None:
+        data = _messages.encode_news(report)
         for host in hosts:
-            self._send_news(host, report)
+            self._send_datagram(host, data)
 
     def _on_load_report(
         self, report: _messages.LoadReport, now_ms: int
@@ -401,6 +426,7 @@
             for token, flows in report.flows.items():
                 total[token] = total.get(token, 0) + flows
         self._placer.peer_flows = total
+        self._placer.peers = len(self._reports)
 
     async def _expire_forever(self) -> None:
         while True:
--- a/bluebelltide/fronts/_tagged.py
+++ b/bluebelltide/fronts/_tagged.py
@@ -12,7 +12,11 @@
 from bluebelltide import _codes
 from bluebelltide import _types
 from bluebelltide.catalogue import _deployment
+from bluebelltide.placement import WAITED_MS
+from bluebelltide.placement import HeldOpening
+from bluebelltide.placement import HeldOpenings
 from bluebelltide.placement import OpeningOutcome
+from bluebelltide.placement import Patience
 from bluebelltide.placement import Placement
 from bluebelltide.placement import Placer
 from bluebelltide.placement import _affinity
@@ -72,6 +76,8 @@
     """Where the target receives."""
     target_id: _types.TargetId
     """The target, for logs."""
+    service: _types.ServiceName
+    """The target's service."""
 
 
 class OpeningReport(NamedTuple):
@@ -93,6 +99,17 @@
     """What was done and why."""
     placement: Placement
     """What decided."""
+    held_ms: int = 0
+    """How long the packet waited here for a free slot."""
+
+
+class _Opening(NamedTuple):
+    """An opening packet and what was found out about it."""
+
+    packet: TaggedPacket
+    data: bytes
+    route: _deployment.Route
+    service: _types.ServiceName
 
 
 REFUSED = Placement(OpeningOutcome.NO_TARGET, 0)
@@ -168,6 +185,7 @@
         self._report_request = report_request
         self._report_end = report_end
         self._receivers: dict[int, Receiver] = {}
+        self._held: dict[_types.ServiceName, HeldOpenings[_Opening]] = {}
 
     def use_targets(
         self,
@@ -185,6 +203,7 @@
                 self._codec.label(target),
                 (target.address.host, target.address.port),
                 target.target_id,
+                target.service,
             )
             for token, target in known.items()
         }
@@ -216,6 +235,7 @@
         seen = self._placer.observations
         if packet.kind == PacketKind.ENDING:
             flow = seen.end(packet.flow_key, packet.token, now_ms)
+            self._placer.note_end(receiver.service, flow, now_ms)
             self._report_end(
                 EndReport(
                     self._codec.name_flow(data),
@@ -228,6 +248,8 @@
             if answered is not None:
                 self._observe("handshake_ms", now_ms - answered.opened_ms)
         self._forward(data, packet.token, receiver)
+        if packet.kind == PacketKind.ENDING and self._held:
+            self.release_held(now_ms)
 
     def _tell_request(
         self, packet: TaggedPacket, data: bytes, receiver: Receiver | None
@@ -253,31 +275,114 @@
             self._refuse(packet, data, "", code, REFUSED)
             return
         service = _deployment.choose_service(route, packet.flow_key)
+        opening = _Opening(packet, data, route, service)
+        waited_ms = WAITED_MS[min(packet.copy, len(WAITED_MS) - 1)]
+        patience = Patience(waited_ms, route.latency_aim_ms)
+        self._place(opening, patience, now_ms)
+
+    def _place(
+        self,
+        opening: _Opening,
+        patience: Patience | None,
+        now_ms: int,
+        held_ms: int = 0,
+    ) -> None:
+        """Sends an opening packet to a target, refuses it or holds it."""
+        packet, _, route, service = opening
         placement = self._placer.place(
-            packet.flow_key, service, packet.copy, now_ms
+            packet.flow_key, service, packet.copy, now_ms, patience
         )
-        if placement.outcome == OpeningOutcome.NO_TARGET:
-            if self.is_complete:
-                code = _codes.RefusalCode.NO_TARGET
-                self._refuse(packet, data, route.name, code, placement)
-            else:
-                self._count("dropped", _codes.DropCode.NO_TARGET)
-            return
+        if placement.outcome == OpeningOutcome.WAIT:
+            self._hold(opening, placement, now_ms)
+        elif placement.outcome != OpeningOutcome.NO_TARGET:
+            self._send_opening(opening, placement, held_ms)
+        elif self.is_complete:
+            code = _codes.RefusalCode.NO_TARGET
+            self._refuse(packet, opening.data, route.name, code, placement)
+        else:
+            self._count("dropped", _codes.DropCode.NO_TARGET)
+
+    def _hold(
+        self, opening: _Opening, placement: Placement, now_ms: int
+    ) -> None:
+        """Lets a late caller wait for a slot that nobody else needs."""
+        packet, data, route, service = opening
+        queue = self._held.setdefault(service, HeldOpenings())
+        copy = min(packet.copy, len(WAITED_MS) - 1)
+        held = HeldOpening(
+            packet.flow_key, WAITED_MS[copy], copy, now_ms, opening
+        )
+        if queue.hold(held):
+            self._count("placed", placement.outcome)
+            self._tell_opening(opening, placement, "", 0)
+        else:
+            code = _codes.RefusalCode.OVERLOAD
+            self._refuse(packet, data, route.name, code, placement)
+
+    @property
+    def held_count(self) -> int:
+        """How many opening packets wait for a free slot."""
+        return sum(map(len, self._held.values()))
+
+    def release_held(self, now_ms: int) -> None:
+        """Places the held openings for which there is a slot or no time."""
+        for service, queue in list(self._held.items()):
+            self._release(service, queue, now_ms)
+            if not len(queue):
+                del self._held[service]
+
+    def _release(
+        self,
+        service: _types.ServiceName,
+        queue: HeldOpenings[_Opening],
+        now_ms: int,
+    ) -> None:
+        left = self._placer.held_allowance(service, now_ms)
+
+        def try_place(held: HeldOpening[_Opening], may_wait: bool) -> bool:
+            nonlocal left
+            if left <= 0 and may_wait:
+                return False
+            if not may_wait and not held.is_last:
+                # The caller's next copy is due.
+                self._count("dropped", _codes.DropCode.NO_SLOT)
+                return True
+            left -= 1
+            held_ms = now_ms - held.arrived_ms
+            self._place(held.item, None, now_ms, held_ms)
+            return True
+
+        queue.release(try_place, now_ms)
+
+    def _send_opening(
+        self, opening: _Opening, placement: Placement, held_ms: int
+    ) -> None:
         receiver = self._receivers[placement.token]
         self._count("placed", placement.outcome)
+        self._tell_opening(opening, placement, receiver.target_id, held_ms)
+        self._forward(opening.data, placement.token, receiver)
+
+    def _tell_opening(
+        self,
+        opening: _Opening,
+        placement: Placement,
+        target_id: _types.TargetId,
+        held_ms: int,
+    ) -> None:
+        assert self.routes is not None
         self._report(
             OpeningReport(
-                self._codec.name_flow(data),
-                packet.copy,
-                route.name,
+                self._codec.name_flow(opening.data),
+                opening.packet.copy,
+                opening.route.name,
                 self.routes.deployment.version,
-                service,
-                receiver.target_id,
+                opening.service,
+                target_id,
                 placement.outcome,
                 placement,
+                held_ms,
             )
         )
-        self._forward(data, placement.token, receiver)
 
     def _refuse(
         self,
--- a/bluebelltide/fronts/tests/test_tagged.py
+++ b/bluebelltide/fronts/tests/test_tagged.py
@@ -92,7 +92,7 @@
 
 TARGETS = {
     11: test_openings.make_target("a"),
-    22: test_openings.make_target("b"),
+    22: test_openings.make_target("b", slots=10),
 }
 
 
@@ -160,6 +160,40 @@
     assert fabric.take(0, make_packet("opening", "k")) == b"reset"
 
 
+def test_a_late_caller_waits_for_a_slot_and_is_placed_when_one_is_free() -> (
+    None
+):
+    target = test_openings.make_target("a", slots=1)
+    fabric = Fabric({11: target})
+    front = fabric.fronts[0]
+    assert fabric.take(0, make_packet("opening", "k")).startswith(b"a/")
+    late = make_packet("opening", "late", copy=2)
+    assert fabric.take(0, late, now_ms=10) == b""
+    assert front.held_count == 1
+    front.release_held(20)
+    assert fabric.sent == []
+    # The end of the first flow frees the slot.
+    fabric.take(0, make_packet("ending", "k", 11), now_ms=30)
+    assert [data.split(b"/")[0] for data, _ in fabric.sent] == [b"a", b"a"]
+    assert front.held_count == 0
+
+
+def test_a_caller_that_repeats_its_opening_is_not_placed_late() -> None:
+    fabric = Fabric({11: test_openings.make_target("a", slots=1)})
+    front = fabric.fronts[0]
+    fabric.take(0, make_packet("opening", "k"))
+    fabric.take(0, make_packet("data", "k", 11), now_ms=5)
+    assert fabric.take(0, make_packet("opening", "late", copy=1), 10) == b""
+    front.release_held(10 + 399)
+    assert fabric.sent == []
+    assert front.held_count == 0
+    assert ("dropped", "no_slot") in fabric.counts
+    # The last copy is placed in any case once its time is over.
+    assert fabric.take(0, make_packet("opening", "late", copy=2), 410) == b""
+    front.release_held(410 + 600)
+    assert len(fabric.sent) == 1
+
+
 def test_malformed_packets_are_counted() -> None:
     fabric = Fabric(TARGETS)
     assert fabric.take(0, b"nonsense") == b""
--- a/bluebelltide/placement/_choice.py
+++ b/bluebelltide/placement/_choice.py
@@ -36,6 +36,17 @@
     return share if candidate.is_local else share + REMOTE_PENALTY
 
 
+def has_slot(candidate: Candidate) -> bool:
+    """Returns whether one more flow would find a free slot."""
+    return candidate.open_flows + 1 <= candidate.slots
+
+
+def line_share(candidate: Candidate) -> float:
+    """Returns how many rounds of all slots come before one more flow."""
+    waiting = candidate.open_flows + 1 - candidate.slots
+    return max(0.0, waiting / max(1, candidate.slots))
+
+
 def choose_target(candidates: Iterable[Candidate], draw: float) -> int | None:
     """Chooses the target of a new flow.
 
--- a/bluebelltide/placement/_observations.py
+++ b/bluebelltide/placement/_observations.py
@@ -37,6 +37,7 @@
     """
 
     __slots__ = (
+        "found_slot",
         "has_ended",
         "heard_ms",
         "is_answered",
@@ -55,6 +56,7 @@
         self.was_opened_here = not is_answered
         self.is_counted = self.was_opened_here
         self.has_ended = False
+        self.found_slot = False
 
 
 class TargetHealth(NamedTuple):
@@ -88,10 +90,20 @@
         """Returns the state of a flow, or None if it is not known."""
         return self._flows.get(key)
 
-    def open(self, key: FlowKey, token: int, now_ms: int) -> None:
-        """Notes that a flow's opening packet goes to a target."""
+    def open(
+        self, key: FlowKey, token: int, now_ms: int, found_slot: bool = False
+    ) -> None:
+        """Notes that a flow's opening packet goes to a target.
+
+        Args:
+            key: The flow.
+            token: The target's token.
+            now_ms: The present time.
+            found_slot: Whether the target seemed to have a free slot.
+        """
         self._forget(key)
         flow = SeenFlow(token, now_ms, is_answered=False)
+        flow.found_slot = found_slot
         self._flows[key] = flow
         self._unanswered.append((key, flow))
         self._change_count(token, 1)
--- a/bluebelltide/placement/_openings.py
+++ b/bluebelltide/placement/_openings.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from enum import StrEnum
+import math
 from typing import NamedTuple
 
 from bluebelltide import _types
@@ -15,6 +16,12 @@
 
 LAST_COPY = 2
 """The copy with which a caller tries for the last time."""
+WAITED_MS = (0, 200, 600)
+"""How long a caller has waited when it sends its first packet and each copy."""
+UNKNOWN_AIM_SHARE = 0.25
+"""The share of its aim that a flow is taken to need before any was seen."""
+SERVICE_WEIGHT = 0.05
+"""The weight of one flow in the mean time that flows of a service take."""
 
 
 class OpeningOutcome(StrEnum):
@@ -28,6 +35,8 @@
     """A copy went to another target, since the first one is unfit."""
     NO_TARGET = "no_target"
     """No target of the service is known to take new flows."""
+    WAIT = "wait"
+    """The caller is late already and no slot is free; nothing was placed."""
 
 
 class Placement(NamedTuple):
@@ -45,22 +54,34 @@
     """How many targets were fit for the flow."""
 
 
+class Patience(NamedTuple):
+    """What a caller has waited, and what it wants."""
+
+    waited_ms: int
+    """How long it has waited for an answer."""
+    aim_ms: int
+    """The latency that its route aims at."""
+
+
 class Placer:
     """Chooses targets for one instance.
 
     Attributes:
         observations: What the instance sees of flows and targets.
         peer_flows: Open flows that other instances reported, by token.
+        peers: How many other instances report.
     """
 
     def __init__(self, data_centre: str, draw: Callable[[], float]) -> None:
         """Creates the placer; use `create_placer`."""
         self.observations = _observations.Observations()
         self.peer_flows: dict[int, int] = {}
+        self.peers = 0
         self._data_centre = data_centre
         self._draw = draw
         self._by_service: Mapping[str, Sequence[tuple[int, _types.Target]]] = {}
         self._accepting: set[int] = set()
+        self._service_ms: dict[str, float] = {}
 
     def use_targets(self, targets: Mapping[int, _types.Target]) -> None:
         """Takes the targets that accept new flows, by token."""
@@ -70,8 +91,61 @@
         self._by_service = by_service
         self._accepting = set(targets)
 
+    def note_end(
+        self, service: str, flow: _observations.SeenFlow, now_ms: int
+    ) -> None:
+        """Learns from a flow that ended how long a service's flows take.
+
+        Only flows that found a free slot tell; the others waited for one.
+        """
+        if not (flow.found_slot and flow.is_answered):
+            return
+        open_ms = now_ms - flow.opened_ms
+        mean_ms = self._service_ms.get(service, float(open_ms))
+        mean_ms += SERVICE_WEIGHT * (open_ms - mean_ms)
+        self._service_ms[service] = mean_ms
+
+    def _is_late(
+        self,
+        service: str,
+        waited_ms: int,
+        aim_ms: int,
+        candidates: Sequence[_choice.Candidate],
+    ) -> bool:
+        """Returns whether a caller is late in the shortest line of a target."""
+        service_ms = self._service_ms.get(service, aim_ms * UNKNOWN_AIM_SHARE)
+        shortest = min(map(_choice.line_share, candidates), default=0.0)
+        return waited_ms + (shortest + 1) * service_ms > aim_ms
+
+    def held_allowance(self, service: str, now_ms: int) -> int:
+        """Returns how many late callers may be placed at once.
+
+        All instances see the same free slots. Each takes its share of them,
+        so that together they do not fill the lines of the targets.
+
+        Args:
+            service: The service.
+            now_ms: The present time.
+        """
+        candidates = [
+            self._candidate(token, target)
+            for token, target in self._fit_targets(service, now_ms)
+        ]
+        open_flows = self.observations.open_flows
+        own = sum(open_flows.get(one.token, 0) for one in candidates)
+        free = sum(max(0.0, one.slots - one.open_flows) for one in candidates)
+        instances = 1 + self.peers
+        own_share = math.ceil(sum(one.slots for one in candidates) / instances)
+        wanted = max(own_share - own, int(free / instances + self._draw()))
+        return max(0, min(int(free), wanted))
+
     def place(
-        self, key: _observations.FlowKey, service: str, copy: int, now_ms: int
+        self,
+        key: _observations.FlowKey,
+        service: str,
+        copy: int,
+        now_ms: int,
+        patience: Patience | None = None,
     ) -> Placement:
         """Decides where an opening packet goes.
 
@@ -80,6 +154,9 @@
             service: The service that the route names.
             copy: 0 for the first packet, else the number of the copy.
             now_ms: The present time.
+            patience: How long the caller has waited and what it wants, if
+                it may wait for a free slot once it is late; else it is placed
+                in any case.
 
         Returns:
             The decision; an opening is counted as an open flow.
@@ -91,14 +168,19 @@
             return Placement(OpeningOutcome.COPY, flow.token)
         outcome = OpeningOutcome.NEW if flow is None else OpeningOutcome.MOVED
         fit = self._fit_targets(service, now_ms)
-        token = _choice.choose_target(
-            (self._candidate(token, target) for token, target in fit),
-            self._draw(),
-        )
+        candidates = [self._candidate(token, target) for token, target in fit]
+        if patience is not None and self._is_late(
+            service, patience.waited_ms, patience.aim_ms, candidates
+        ):
+            candidates = [one for one in candidates if _choice.has_slot(one)]
+            if fit and not candidates:
+                return Placement(OpeningOutcome.WAIT, 0, candidates=len(fit))
+        token = _choice.choose_target(candidates, self._draw())
         if token is None:
             return Placement(OpeningOutcome.NO_TARGET, 0)
         own_flows = seen.open_flows.get(token, 0)
-        seen.open(key, token, now_ms)
+        chosen = next(one for one in candidates if one.token == token)
+        seen.open(key, token, now_ms, _choice.has_slot(chosen))
         return Placement(
             outcome, token, own_flows, self.peer_flows.get(token, 0), len(fit)
         )
--- /dev/null
+++ b/bluebelltide/placement/tests/test_held.py
@@ -0,0 +1,130 @@
+"""Tests of openings that wait, and of the return of all after an outage."""
+
+import pytest
+
+from bluebelltide.placement import _held
+from bluebelltide.placement import _openings
+from bluebelltide.placement.tests import recovery
+from bluebelltide.placement.tests import test_openings
+
+KHUVSGUL = recovery.RecoveryPlan(holds_late=True)
+CARONI = KHUVSGUL._replace(
+    instances=7,
+    flows_per_s=188.0,
+    slots=3,
+    queue=12,
+    work_ms=59.0,
+    aim_ms=300,
+)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("plan", [KHUVSGUL, CARONI])
+def test_after_an_outage_all_are_served_and_the_new_ones_in_time(
+    plan: recovery.RecoveryPlan, seed: int
+) -> None:
+    held = recovery.play_recovery(plan, seed)
+    at_once = recovery.play_recovery(plan._replace(holds_late=False), seed)
+    assert held.served >= 0.99
+    assert held.served > at_once.served
+    assert held.shed < at_once.shed / 4
+    assert held.fresh_in_aim > at_once.fresh_in_aim - 0.01
+
+
+@pytest.mark.parametrize(
+    ("copy", "released_ms"),
+    [(0, _held.HOLD_MS[0]), (1, _held.HOLD_MS[1]), (2, _held.LAST_HOLD_MS)],
+)
+def test_an_opening_is_released_before_its_next_copy(
+    copy: int, released_ms: int
+) -> None:
+    queue: _held.HeldOpenings[None] = _held.HeldOpenings()
+    waited_ms = _openings.WAITED_MS[copy]
+    opening = _held.HeldOpening(b"k", waited_ms, copy, 1000, None)
+    assert queue.hold(opening)
+    if not opening.is_last:
+        next_copy_ms = _openings.WAITED_MS[copy + 1] - waited_ms
+        assert released_ms < next_copy_ms
+    queue.release(lambda held, may_wait: not may_wait, 1000 + released_ms - 1)
+    assert len(queue) == 1
+    queue.release(lambda held, may_wait: not may_wait, 1000 + released_ms)
+    assert len(queue) == 0
+
+
+def test_the_longest_wait_is_offered_first() -> None:
+    queue: _held.HeldOpenings[None] = _held.HeldOpenings()
+    for name, waited_ms, arrived_ms in (
+        (b"new", 0, 1000),
+        (b"old", 600, 1010),
+        (b"mid", 200, 1005),
+    ):
+        queue.hold(_held.HeldOpening(name, waited_ms, 2, arrived_ms, None))
+    offered: list[bytes] = []
+
+    def take_one(held: _held.HeldOpening[None], may_wait: bool) -> bool:
+        offered.append(held.key)
+        return held.key == b"old"
+
+    queue.release(take_one, 1020)
+    assert offered == [b"old", b"mid", b"new"]
+    assert [held.key for held in queue] == [b"mid", b"new"]
+
+
+def test_a_full_queue_says_so_but_takes_copies(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_held, "MAXIMUM_HELD", 1)
+    queue: _held.HeldOpenings[None] = _held.HeldOpenings()
+    assert queue.hold(_held.HeldOpening(b"a", 0, 0, 0, None))
+    assert not queue.hold(_held.HeldOpening(b"b", 0, 0, 0, None))
+    assert queue.hold(_held.HeldOpening(b"a", 200, 1, 200, None))
+
+
+def place(
+    placer: _openings.Placer, key: bytes, waited_ms: int, aim_ms: int = 200
+) -> _openings.OpeningOutcome:
+    patience = _openings.Patience(waited_ms, aim_ms)
+    return placer.place(key, "dues", 0, 0, patience).outcome
+
+
+def test_a_late_caller_gets_only_a_free_slot() -> None:
+    placer = test_openings.make_placer(test_openings.make_target("a"))
+    assert place(placer, b"1", waited_ms=200) == _openings.OpeningOutcome.NEW
+    assert place(placer, b"2", waited_ms=200) == _openings.OpeningOutcome.NEW
+    assert place(placer, b"3", waited_ms=200) == _openings.OpeningOutcome.WAIT
+    # Who can still be in time may stand in a short line.
+    assert place(placer, b"4", waited_ms=0) == _openings.OpeningOutcome.NEW
+
+
+def test_nobody_waits_without_targets() -> None:
+    placer = test_openings.make_placer()
+    outcome = place(placer, b"1", waited_ms=600)
+    assert outcome == _openings.OpeningOutcome.NO_TARGET
+
+
+def test_only_flows_that_found_a_slot_tell_how_long_flows_take() -> None:
+    placer = test_openings.make_placer(test_openings.make_target("a"))
+    seen = placer.observations
+    for key in (b"1", b"2", b"3"):
+        place(placer, key, waited_ms=0)
+        seen.heard(key, 1, 1)
+    placer.note_end("dues", seen.end(b"3", 1, 900), 900)
+    assert place(placer, b"4", 0) == _openings.OpeningOutcome.NEW
+    # Two rounds of 150 ms each would be too long.
+    placer.note_end("dues", seen.end(b"1", 1, 150), 150)
+    assert place(placer, b"5", 0) == _openings.OpeningOutcome.WAIT
+
+
+@pytest.mark.parametrize(
+    ("peers", "peer_flows", "most"), [(0, 0, 4), (3, 0, 2), (3, 4, 0)]
+)
+def test_instances_share_free_slots(
+    peers: int, peer_flows: int, most: int
+) -> None:
+    placer = test_openings.make_placer(
+        test_openings.make_target("a"), test_openings.make_target("b")
+    )
+    placer.peers = peers
+    placer.peer_flows = {1: peer_flows // 2, 2: peer_flows // 2}
+    assert placer.held_allowance("dues", 0) <= most
+    assert (placer.held_allowance("dues", 0) > 0) is (most > 0)
