A restarted replica tells the instances that it knew

Cause: instances start with the seeds of their settings; a replica that is not among them may be up first, and nobody asks it. Change: replicas keep the machines of the instances that poll them, beside the targets, and tell them after a restart, at a bounded rate, until they poll.

--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -40,6 +40,12 @@
 STORE_INTERVAL_MS = 700
 """Time between two looks at whether the files for the next start are out of
 date."""
+GREET_MS = 3000
+"""How long after a start instances of the earlier run are told of it."""
+GREET_INTERVAL_MS = 60
+"""Shortest time between two rounds of that."""
+GREET_MS_PER_HOST = 4
+"""Time between rounds for each instance, so that many are told less often."""
 FETCH_TIMEOUT_MS = 1500
 """How long fetching a committed state from a replica may take."""
 FORGET_REPLICA_MS = 60_000
@@ -74,7 +80,8 @@
         self._renewals: dict[int, int] = {}
         self._fetching: set[str] = set()
         self._recovered_targets = 0
-        self._stored_index = 0
+        self._entries_before: tuple[str, ...] = ()
+        self._stored: tuple[int, tuple[str, ...]] = (0, ())
         self._own = _messages.Replica("", settings.data_centre)
         self._desk: _newsdesk.Newsdesk | None = None
         self._follower: _subscription.Follower | None = None
@@ -111,6 +118,7 @@
         tasks.start_soon(self._poll_forever)
         tasks.start_soon(self._plan_forever)
         tasks.start_soon(self._store_known_forever)
+        tasks.start_soon(self._greet_instances)
         events.write("started", identity=self._own.identity)
 
     def close(self) -> None:
@@ -159,37 +167,63 @@
         """Takes the targets of the earlier run, which mostly still live."""
         folder = self._settings.data_folder
         try:
-            records = _target_file.read_targets(folder)
+            known = _target_file.read_targets(folder)
         except _exceptions.BluebelltideError as error:
             events.write("targets_not_recovered", error=str(error))
             return
-        for record in records:
+        for record in known.records:
             self.directory.merge(record, _clock.now_ms())
-        self._recovered_targets = len(records)
-        self._stored_index = self.directory.last_index
-        events.write("targets_recovered", records=len(records))
+        self._recovered_targets = len(known.records)
+        self._entries_before = known.entry_hosts
+        self._stored = (self.directory.last_index, known.entry_hosts)
+        events.write(
+            "targets_recovered",
+            records=len(known.records),
+            instances=len(known.entry_hosts),
+        )
+
+    async def _greet_instances(self) -> None:
+        """Tells the instances of the earlier run that this replica is back."""
+        assert self._desk is not None
+        until_ms = self._started_ms + GREET_MS
+        interval_ms = max(
+            GREET_INTERVAL_MS, GREET_MS_PER_HOST * len(self._entries_before)
+        )
+        while self._entries_before and _clock.now_ms() < until_ms:
+            told = self._desk.greet(
+                self._entries_before, self._known(), _clock.now_ms()
+            )
+            for receiver in told:
+                self._send(receiver.host, receiver.update)
+            await anyio.sleep(interval_ms / 1000)
 
     async def _store_known_forever(self) -> None:
         """Keeps for the next start what is known besides the vote."""
         while True:
             await anyio.sleep(STORE_INTERVAL_MS / 1000)
-            if self.directory.last_index != self._stored_index:
+            if self._stored != self._storable():
                 await self._store_targets()
             state = self.deployments.unremembered()
             if state is not None:
                 await self._store_deployment(state)
 
+    def _storable(self) -> tuple[int, tuple[str, ...]]:
+        """Returns the latest change of targets, and the instances."""
+        assert self._desk is not None
+        return self.directory.last_index, self._desk.entry_hosts()
+
     async def _store_targets(self) -> None:
-        index = self.directory.last_index
+        storable = self._storable()
+        known = _target_file.KnownBefore(
+            tuple(self.directory.records()), storable[1]
+        )
         try:
             await anyio.to_thread.run_sync(
-                _target_file.write_targets,
-                self._settings.data_folder,
-                self.directory.records(),
+                _target_file.write_targets, self._settings.data_folder, known
             )
         except OSError as error:
             events.write("targets_not_stored", error=str(error))
-        self._stored_index = index
+        self._stored = storable
 
     async def _store_deployment(self, state: _register.RegisterState) -> None:
         try:
--- a/bluebelltide/control/_newsdesk.py
+++ b/bluebelltide/control/_newsdesk.py
@@ -3,6 +3,7 @@
 Pure: it keeps who polls and what they know, and makes the updates.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from bluebelltide.control import _succession
@@ -110,6 +111,42 @@
             known.offered_version,
         )
 
+    def entry_hosts(self) -> tuple[str, ...]:
+        """Returns the machines of the entry instances that poll."""
+        return tuple(
+            sorted(
+                host
+                for host, poller in self._pollers.items()
+                if poller.poll.replica is None
+            )
+        )
+
+    def greet(
+        self, hosts: Iterable[str], known: Known, now_ms: int
+    ) -> list[Told]:
+        """Makes updates for instances that polled before a restart.
+
+        They may not have this replica among their seeds.
+
+        Args:
+            hosts: The machines of the instances.
+            known: What the replica knows besides the targets.
+            now_ms: The present time.
+
+        Returns:
+            An update for each that has not polled yet.
+        """
+        return [
+            Told(
+                host,
+                self.answer(
+                    _messages.Poll(host, "", None, 0, 0), known, now_ms
+                ),
+            )
+            for host in hosts
+            if host not in self._pollers
+        ]
+
     def tell_all(self, known: Known, now_ms: int) -> list[Told]:
         """Makes updates for every process that polled lately."""
         told = []
--- a/bluebelltide/control/tests/test_newsdesk.py
+++ b/bluebelltide/control/tests/test_newsdesk.py
@@ -49,6 +49,26 @@
     assert told.update.first_index == 3
 
 
+def test_instances_of_an_earlier_run_are_told_until_they_poll() -> None:
+    before, _ = make_desk(1)
+    before.note_poll(poll_from("10.0.0.9"), now_ms=0)
+    other = _messages.Replica("10.0.0.2~0", "north")
+    before.note_poll(poll_from("10.0.0.2")._replace(replica=other), now_ms=0)
+    hosts = before.entry_hosts()
+    assert hosts == ("10.0.0.9",)
+
+    desk, _ = make_desk(1)
+    (told,) = desk.greet(hosts, KNOWN, now_ms=0)
+    assert told.host == "10.0.0.9"
+    # An instance whose seeds do not name the replica polls it from then on.
+    follower = _subscription.Follower("10.0.0.9", "north", None)
+    follower.use_seeds(("10.0.0.2",), 0)
+    follower.receive(told.update, 0)
+    assert "10.0.0.1" in follower.hosts(0)
+    desk.note_poll(follower.poll("10.0.0.1"), now_ms=5)
+    assert desk.greet(hosts, KNOWN, now_ms=10) == []
+
+
 def test_a_follower_that_fell_silent_is_not_told() -> None:
     desk, _ = make_desk(1)
     desk.note_poll(poll_from("10.0.0.9"), now_ms=0)
--- a/bluebelltide/membership/_target_file.py
+++ b/bluebelltide/membership/_target_file.py
@@ -1,11 +1,12 @@
-"""The targets that a control replica knew before it was restarted.
+"""The targets and instances that a control replica knew before a restart.
 
 The file only shortens the time until a restarted deployment serves again:
-targets announce themselves within seconds anyway, and newer announcements
-replace what the file says.
+targets announce themselves within seconds anyway, newer announcements replace
+what the file says, and instances find the replica through the seeds.
 """
 
 import pathlib
+from typing import NamedTuple
 
 from bluebelltide import _codec
 from bluebelltide import _exceptions
@@ -16,32 +17,37 @@
 """The name of the file in the data folder."""
 
 
-def write_targets(
-    folder: pathlib.Path, records: list[_directory.TargetRecord]
-) -> None:
+class KnownBefore(NamedTuple):
+    """What the file holds."""
+
+    records: tuple[_directory.TargetRecord, ...] = ()
+    """The targets."""
+    entry_hosts: tuple[str, ...] = ()
+    """The machines of the entry instances that polled."""
+
+
+def write_targets(folder: pathlib.Path, known: KnownBefore) -> None:
     """Replaces the file.
 
     Args:
         folder: The data folder.
-        records: What the replica knows.
+        known: What the replica knows.
 
     Raises:
         OSError: If the disk refuses; the file is then as it was.
     """
-    data = _codec.encode(_codec.to_plain(records))
+    data = _codec.encode(_codec.to_plain(known))
     _store.write_file_atomically(folder / FILE_NAME, data)
 
 
-def read_targets(
-    folder: pathlib.Path,
-) -> list[_directory.TargetRecord]:
+def read_targets(folder: pathlib.Path) -> KnownBefore:
     """Reads the file.
 
     Args:
         folder: The data folder.
 
     Returns:
-        The records; none if there is no file.
+        What the replica knew; nothing if there is no file.
 
     Raises:
         BluebelltideError: With BAD_FRAME if the file is damaged.
@@ -50,10 +56,10 @@
     try:
         data = path.read_bytes()
     except FileNotFoundError:
-        return []
+        return KnownBefore()
     except OSError as error:
         raise _exceptions.BluebelltideError(
             _exceptions.ErrorCode.BAD_FRAME, str(error), str(path)
         ) from error
     plain = _codec.decode(data, str(path))
-    return _codec.from_plain(plain, list[_directory.TargetRecord], str(path))
+    return _codec.from_plain(plain, KnownBefore, str(path))
