--- a/bluebelltide/control/_deployments.py
+++ b/bluebelltide/control/_deployments.py
@@ -7,36 +7,26 @@
 
 from collections.abc import Callable
 import pathlib
-import random
 import time
 from typing import NamedTuple
 import uuid
 
 import anyio
 import anyio.abc
-import anyio.streams.memory
 
 from bluebelltide import _exceptions
 from bluebelltide import _metrics
-from bluebelltide import _types
 from bluebelltide._events import events
 from bluebelltide.catalogue import _deployment
 from bluebelltide.catalogue import _register
 from bluebelltide.catalogue import _remembered
 from bluebelltide.catalogue import _store
+from bluebelltide.control import _proposals
 from bluebelltide.control import _voters
 from bluebelltide.news import _calls
 
 PROPOSAL_TIMEOUT_MS = 900
 """How long a proposal may take; operators turn to another replica after 1 s."""
-ATTEMPT_TIMEOUT_MS = 350
-"""How long one attempt waits for a quorum before it starts anew."""
-CALL_TIMEOUT_MS = 800
-"""How long one call to a voter may take."""
-BACKOFF_BASE_MS = 15
-"""The mean delay before the second attempt after a rejected ballot."""
-BACKOFF_LIMIT_MS = 150
-"""The upper bound of the mean delay between attempts."""
 FIRST_NONCE = "0"
 """The identity's second part at the very first start of a deployment."""
 
@@ -76,10 +66,6 @@
 UNCERTAIN = Outcome(False, _register.RegisterState())
 """No quorum answered in time."""
 
-_Replies = anyio.streams.memory.MemoryObjectReceiveStream[
-    tuple[str, _calls.Answer]
-]
-
 
 class DeploymentReplica:
     """Acceptor, proposer and learner of one control process.
@@ -350,7 +336,7 @@
         known = self.committed(key)
         agreed: dict[_register.Ballot, set[str]] = {}
         request = _calls.Query(key)
-        with anyio.move_on_after(ATTEMPT_TIMEOUT_MS / 1000):
+        with anyio.move_on_after(_proposals.ATTEMPT_TIMEOUT_MS / 1000):
             replies = self._call_all(voters.everyone(), request)
             async for identity, answer in replies:
                 if not isinstance(answer, _calls.QueryAnswer):
@@ -378,7 +364,9 @@
         result: _register.ChangeResult | None = None
         started = time.monotonic()
         with anyio.move_on_after(PROPOSAL_TIMEOUT_MS / 1000):
-            result = await self._run(proposal, key)
+            result = await _proposals.run_proposal(
+                proposal, lambda: self._promised_round(key), self._call_all
+            )
         spent_ms = int((time.monotonic() - started) * 1000)
         self._metrics.observe_ms("proposal_ms", spent_ms)
         events.write(
@@ -397,88 +385,24 @@
             return UNCERTAIN
         return Outcome(True, result.state)
 
-    async def _run(
-        self, proposal: _register.Proposal, key: str
-    ) -> _register.ChangeResult:
-        """Runs a proposal until it is done, attempt after attempt."""
-        attempt = 0
-        while True:
-            slot = self._slots.get(key, _register.Slot())
-            actions = proposal.start(slot.promised.round_number)
-            with anyio.move_on_after(ATTEMPT_TIMEOUT_MS / 1000):
-                result = await self._run_attempt(proposal, actions)
-                if result is not None:
-                    return result
-            attempt += 1
-            mean_ms = min(BACKOFF_LIMIT_MS, BACKOFF_BASE_MS * 2**attempt)
-            await anyio.sleep(random.uniform(0, 2 * mean_ms) / 1000)
-
-    async def _run_attempt(
-        self, proposal: _register.Proposal, actions: list[_register.Action]
-    ) -> _register.ChangeResult | None:
-        """Runs one attempt; returns None if its ballot was rejected."""
-        replies: _Replies | None = None
-        while True:
-            for action in actions:
-                if isinstance(action, _register.Send):
-                    replies = self._call_all(action.replicas, action.message)
-                elif isinstance(action, _register.Done):
-                    return action.result
-                elif isinstance(action, _register.Backoff):
-                    return None
-            assert replies is not None
-            actions = []
-            try:
-                identity, answer = await replies.receive()
-            except anyio.EndOfStream:
-                # Every voter has answered or failed, without a quorum.
-                return None
-            if isinstance(answer, _register.Reply):
-                actions = proposal.receive(identity, answer)
+    def _promised_round(self, key: str) -> int:
+        return self._slots.get(key, _register.Slot()).promised.round_number
 
     def _call_all(
         self, identities: tuple[str, ...], request: _calls.Request
-    ) -> _Replies:
-        """Calls voters at the same time; the answers come as a stream."""
+    ) -> _proposals.Replies:
         assert self._tasks is not None
-        sender, receiver = anyio.create_memory_object_stream[
-            tuple[str, _calls.Answer]
-        ](len(identities) + 1)
-        for identity in identities:
-            self._tasks.start_soon(
-                self._call_one, identity, request, sender.clone()
-            )
-        sender.close()
-        return receiver
-
-    async def _call_one(
-        self,
-        identity: str,
-        request: _calls.Request,
-        replies: anyio.streams.memory.MemoryObjectSendStream[
-            tuple[str, _calls.Answer]
-        ],
-    ) -> None:
-        with replies:
-            answer: _calls.Answer | None
-            if identity == self.identity:
-                answer = await self.handle(identity, request)
-            else:
-                host = identity.partition("~")[0]
-                address = _types.Address(host, self._settings.port)
-                answer = await _calls.call(
-                    address,
-                    identity,
-                    request,
-                    CALL_TIMEOUT_MS,
-                    self._settings.bind_host,
-                )
-            if answer is not None:
-                try:
-                    replies.send_nowait((identity, answer))
-                except (anyio.BrokenResourceError, anyio.WouldBlock):
-                    # The proposal has ended; the voter holds its state.
-                    return
+        return _proposals.call_voters(
+            _proposals.Caller(
+                self.identity,
+                self._settings.port,
+                self._settings.bind_host,
+                self.handle,
+            ),
+            self._tasks,
+            identities,
+            request,
+        )
 
     async def change_voters(self, wanted: tuple[str, ...]) -> bool:
         """Moves to a new voter set by a joint step.
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -70,7 +70,7 @@
         self.deployments = _deployments.DeploymentReplica(
             settings,
             _store.Store(settings.data_folder),
-            self._on_commit,
+            self._tell_all,
             metrics,
         )
         self._settings = settings
@@ -160,9 +160,6 @@
     async def _serve_call(self, stream: anyio.abc.SocketStream) -> None:
         await _calls.serve_call(stream, self.deployments.handle)
 
-    def _on_commit(self) -> None:
-        self._tell_all()
-
     def _recover_targets(self) -> None:
         """Takes the targets of the earlier run, which mostly still live."""
         folder = self._settings.data_folder
--- /dev/null
+++ b/bluebelltide/control/_proposals.py
@@ -0,0 +1,153 @@
+"""Carrying a register's proposal to the voters and back.
+
+What a proposal does is decided in `catalogue._register`; here its messages
+become calls, and a rejected attempt is followed by another.
+"""
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import anyio.streams.memory
+
+from bluebelltide import _types
+from bluebelltide.catalogue import _register
+from bluebelltide.news import _calls
+
+ATTEMPT_TIMEOUT_MS = 350
+"""How long one attempt waits for a quorum before it starts anew."""
+CALL_TIMEOUT_MS = 800
+"""How long one call to a voter may take."""
+BACKOFF_BASE_MS = 15
+"""The mean delay before the second attempt after a rejected ballot."""
+BACKOFF_LIMIT_MS = 150
+"""The upper bound of the mean delay between attempts."""
+
+_Reply = tuple[str, _calls.Answer]
+"""A voter's identity and what it answered."""
+Replies = anyio.streams.memory.MemoryObjectReceiveStream[_Reply]
+"""The answers of voters, as they come; ends when none can come any more."""
+CallAll = Callable[[tuple[str, ...], _calls.Request], Replies]
+"""Calls voters at the same time."""
+
+
+class Caller(NamedTuple):
+    """The replica that calls."""
+
+    identity: str
+    """Its identity; calls to itself need no network."""
+    port: int
+    """The port for calls, on all machines."""
+    bind_host: str
+    """The own address that calls leave from; empty for any."""
+    handle: _calls.Handler
+    """Answers the calls to itself."""
+
+
+def call_voters(
+    caller: Caller,
+    tasks: anyio.abc.TaskGroup,
+    identities: tuple[str, ...],
+    request: _calls.Request,
+) -> Replies:
+    """Calls voters at the same time.
+
+    Args:
+        caller: The replica that calls.
+        tasks: Runs the calls, which may outlive whoever waits for them.
+        identities: The voters.
+        request: What is asked.
+
+    Returns:
+        The answers.
+    """
+    sender, receiver = anyio.create_memory_object_stream[_Reply](
+        len(identities) + 1
+    )
+    for identity in identities:
+        tasks.start_soon(_call_voter, caller, identity, request, sender.clone())
+    sender.close()
+    return receiver
+
+
+async def _call_voter(
+    caller: Caller,
+    identity: str,
+    request: _calls.Request,
+    replies: anyio.streams.memory.MemoryObjectSendStream[_Reply],
+) -> None:
+    with replies:
+        answer: _calls.Answer | None
+        if identity == caller.identity:
+            answer = await caller.handle(identity, request)
+        else:
+            host = identity.partition("~")[0]
+            answer = await _calls.call(
+                _types.Address(host, caller.port),
+                identity,
+                request,
+                CALL_TIMEOUT_MS,
+                caller.bind_host,
+            )
+        if answer is not None:
+            try:
+                replies.send_nowait((identity, answer))
+            except (anyio.BrokenResourceError, anyio.WouldBlock):
+                # The proposal has ended; the voter holds its state.
+                return
+
+
+async def run_proposal(
+    proposal: _register.Proposal,
+    promised_round: Callable[[], int],
+    call_all: CallAll,
+) -> _register.ChangeResult:
+    """Runs a proposal until it is done, attempt after attempt.
+
+    Args:
+        proposal: The proposal.
+        promised_round: Returns the highest round that the own acceptor has
+            promised.
+        call_all: Calls voters.
+
+    Returns:
+        What a quorum decided; the caller bounds the time.
+    """
+    attempt = 0
+    while True:
+        actions = proposal.start(promised_round())
+        with anyio.move_on_after(ATTEMPT_TIMEOUT_MS / 1000):
+            result = await _run_attempt(proposal, actions, call_all)
+            if result is not None:
+                return result
+        attempt += 1
+        mean_ms = min(BACKOFF_LIMIT_MS, BACKOFF_BASE_MS * 2**attempt)
+        await anyio.sleep(random.uniform(0, 2 * mean_ms) / 1000)
+
+
+async def _run_attempt(
+    proposal: _register.Proposal,
+    actions: list[_register.Action],
+    call_all: CallAll,
+) -> _register.ChangeResult | None:
+    """Runs one attempt; returns None if its ballot was rejected."""
+    replies: Replies | None = None
+    while True:
+        for action in actions:
+            if isinstance(action, _register.Send):
+                replies = call_all(action.replicas, action.message)
+            elif isinstance(action, _register.Done):
+                return action.result
+            elif isinstance(action, _register.Backoff):
+                return None
+        assert replies is not None
+        actions = []
+        try:
+            identity, answer = await replies.receive()
+        except anyio.EndOfStream:
+            # Every voter has answered or failed, without a quorum.
+            return None
+        if isinstance(answer, _register.Reply):
+            actions = proposal.receive(identity, answer)
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -134,7 +134,6 @@
             self._report_request,
             self._report_end,
         )
-        self._is_warm = False
         self._is_stopping = False
         self._is_fetching = False
         self._is_confirmed = False
@@ -190,8 +189,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether the fabric should send packets here."""
-        has_all = self._front.routes is not None and self._is_warm
-        return has_all and not self._is_stopping
+        return self._has_all and not self._is_stopping
+
+    @property
+    def _has_all(self) -> bool:
+        """Whether routes and targets are known."""
+        return self._front.routes is not None and self._front.is_complete
 
     async def _answer(self, request: _http1.Request) -> _http1.Response:
         if request.path != self._settings.ready_path:
@@ -263,8 +266,8 @@
             self._send_poll(update.replica.host)
         self._near_peers = update.near_entries
         self._far_peers = update.far_entries
-        if update.is_warm and not update.has_more and not self._is_warm:
-            self._is_warm = True
+        has_all = update.is_warm and not update.has_more
+        if has_all and not self._front.is_complete:
             self._front.is_complete = True
             events.write("targets_complete", replica=update.replica.identity)
         if has_news:
@@ -349,7 +352,7 @@
         self._send_news(host, self._follower.poll(host))
 
     async def _poll_forever(self) -> None:
-        while not (self._is_warm and self._front.routes is not None):
+        while not self._has_all:
             for host in self._follower.hosts(_clock.now_ms()):
                 self._send_poll(host)
             await anyio.sleep(STARTING_POLL_INTERVAL_MS / 1000)
