--- a/bluebelltide/spec/_models.py
+++ b/bluebelltide/spec/_models.py
@@ -34,7 +34,9 @@
         NamedModel(
             "voters",
             "4 replicas, 1 replaced by a joint step, 3 ballots",
-            lambda rule: _voters_model.create_voters_model(mutation=rule),
+            lambda rule: _voters_model.create_voters_model(
+                _voters_model.BALLOTS_TO_CATCH.get(rule, 3), rule
+            ),
             _voters_model.MUTATIONS,
         ),
         NamedModel(
--- a/bluebelltide/spec/tests/test_models.py
+++ b/bluebelltide/spec/tests/test_models.py
@@ -3,12 +3,11 @@
 import pytest
 
 from bluebelltide import spec
+from bluebelltide.spec import _voters_model
 
 SLOW = {
     "accept_below_promise",
     "lost_disk_keeps_identity",
-    "skip_joint_step",
-    "skip_copy",
     "ignore_voters_version",
 }
 """Need more than 100,000 states; `bench modelcheck` runs them too."""
@@ -31,6 +30,13 @@
     assert result.is_complete
 
 
+def test_voters_model_holds_with_two_ballots() -> None:
+    model = _voters_model.create_voters_model(ballots=2)
+    result = spec.explore(model, 2_000_000)
+    assert result.broken is None
+    assert result.is_complete
+
+
 @pytest.mark.parametrize("name", ["register", "voters"])
 def test_model_holds_in_the_states_that_ci_has_time_for(name: str) -> None:
     result = spec.explore(model_named(name).create(""), 60_000)
