Soak: a stand-in caller takes only answers to its present request

Change: answers count by the request that they acknowledge. Test: a late answer of the request before; it failed before.

--- a/bluebelltide/soak/__init__.py
+++ b/bluebelltide/soak/__init__.py
@@ -9,6 +9,7 @@
 from bluebelltide.soak._plan import Fault
 from bluebelltide.soak._plan import FaultKind
 from bluebelltide.soak._plan import make_plan
+from bluebelltide.soak._regressions import REGRESSION_SEEDS
 from bluebelltide.soak._run import SoakOptions
 from bluebelltide.soak._run import SoakReport
 from bluebelltide.soak._run import run_soak
@@ -18,6 +19,7 @@
     "Fault",
     "FaultKind",
     "Ledger",
+    "REGRESSION_SEEDS",
     "SoakOptions",
     "SoakReport",
     "Wire",
--- a/bluebelltide/soak/_callers.py
+++ b/bluebelltide/soak/_callers.py
@@ -161,6 +161,7 @@
         self._only = only
         self._token = 0
         self._target_sequence: int | None = None
+        self._request_number = 0
         self._parts: dict[int, bytes] = {}
         self._news = anyio.Event()
         fabric.flows[caller] = self
@@ -187,7 +188,9 @@
         if packet.is_opening:
             if self._target_sequence is None:
                 self._target_sequence = packet.sequence
-        elif packet.data:
+        elif packet.data and packet.acknowledged == self._request_number:
+            # A target answers a repeated request again; what comes after the
+            # next request began belongs to the one before.
             self._parts[packet.sequence] = packet.data
 
     def _send(
@@ -229,6 +232,7 @@
     async def ask(self, number: int, request_id: str, method: str) -> bool:
         """Sends one request; returns whether its whole answer came."""
         self._parts.clear()
+        self._request_number = number
         head = f"{method} / HTTP/1.1\r\nRequest-Id: {request_id}\r\n\r\n"
         ends_s = self._clock() + DEADLINE_S
         while self._clock() < ends_s and not self.is_reset:
--- /dev/null
+++ b/bluebelltide/soak/tests/test_callers.py
@@ -0,0 +1,61 @@
+"""Tests of the stand-in callers."""
+
+import anyio
+
+from bluebelltide import _types
+from bluebelltide.soak import _callers
+from bluebelltide.soak import _ledger
+from bluebelltide.soak import _wire
+
+CALLER = _types.Address("127.0.0.3", 2001)
+SERVICE = _types.Address("198.18.0.1", 80)
+
+
+class StandInFabric:
+    """Keeps what a caller sends."""
+
+    def __init__(self) -> None:
+        """Creates a fabric that has carried nothing."""
+        self.flows: dict[_types.Address, _callers.CallerFlow] = {}
+        self.sent: list[_wire.Packet] = []
+
+    def send(
+        self, packet: _wire.Packet, only: _wire.Machine | None = None
+    ) -> None:
+        self.sent.append(packet)
+
+
+def make_answer(number: int, request_id: str) -> _wire.Packet:
+    data = f"{request_id}|0|1|x".encode()
+    return _wire.Packet(SERVICE, CALLER, acknowledged=number, data=data)
+
+
+def test_a_late_answer_to_the_request_before_is_not_taken() -> None:
+    async def run() -> None:
+        ledger = _ledger.Ledger(lambda from_s, to_s: True)
+        fabric = StandInFabric()
+        flow = _callers.CallerFlow(
+            fabric,  # type: ignore[arg-type]
+            ledger,
+            anyio.current_time,
+            CALLER,
+            SERVICE,
+        )
+        opened = _wire.Packet(SERVICE, CALLER, is_opening=True, sequence=9)
+        flow.receive(opened, "t")
+        served: list[bool] = []
+
+        async def ask() -> None:
+            served.append(await flow.ask(2, "second", "GET"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            while not fabric.sent:
+                await anyio.sleep(0)
+            flow.receive(make_answer(1, "first"), "t")
+            await anyio.sleep(0.01)
+            flow.receive(make_answer(2, "second"), "t")
+        assert served == [True]
+        assert not ledger.broken
+
+    anyio.run(run)
