--- a/bluebelltide/placement/tests/load.py
+++ b/bluebelltide/placement/tests/load.py
@@ -58,33 +58,40 @@
     """The share of flows that left their data centre."""
 
 
-def play_load(plan: LoadPlan, seed: int) -> LoadResult:
-    """Plays a plan.
-
-    Args:
-        plan: The plan.
-        seed: Fixes arrivals, work and draws.
-
-    Returns:
-        The result.
-    """
-    generator = random.Random(seed)
-    targets = {
+def make_targets(
+    count: int, data_centres: int, slots: int
+) -> dict[int, _types.Target]:
+    """Makes targets, in turn one in each data centre, by token."""
+    return {
         number: _types.Target(
             str(number),
             "service",
             _types.Address("10.0.0.1", number),
-            f"dc-{number % plan.data_centres}",
+            f"dc-{number % data_centres}",
             1,
             1,
             _types.TargetState.READY,
-            plan.slots,
+            slots,
             0,
             0,
             9600,
         )
-        for number in range(1, plan.targets + 1)
+        for number in range(1, count + 1)
     }
+
+
+def play_load(plan: LoadPlan, seed: int) -> LoadResult:
+    """Plays a plan.
+
+    Args:
+        plan: The plan.
+        seed: Fixes arrivals, work and draws.
+
+    Returns:
+        The result.
+    """
+    generator = random.Random(seed)
+    targets = make_targets(plan.targets, plan.data_centres, plan.slots)
     joined_ms = plan.duration_ms / 2
     joining = range(plan.targets - plan.joining_targets + 1, plan.targets + 1)
     first_targets = {
--- a/bluebelltide/placement/tests/recovery.py
+++ b/bluebelltide/placement/tests/recovery.py
@@ -11,10 +11,10 @@
 import random
 from typing import NamedTuple
 
-from bluebelltide import _types
 from bluebelltide.placement import _held
 from bluebelltide.placement import _openings
 from bluebelltide.placement import create_placer
+from bluebelltide.placement.tests import load
 
 GIVES_UP_MS = 1400
 """When a caller's attempt ends without an answer."""
@@ -95,22 +95,7 @@
         self.requests: list[_Request] = []
         self.shed = 0
         self.targets = {n: _Target() for n in range(1, plan.targets + 1)}
-        views = {
-            n: _types.Target(
-                str(n),
-                "service",
-                _types.Address("10.0.0.1", n),
-                f"dc-{n % plan.data_centres}",
-                1,
-                1,
-                _types.TargetState.READY,
-                plan.slots,
-                0,
-                0,
-                9600,
-            )
-            for n in self.targets
-        }
+        views = load.make_targets(plan.targets, plan.data_centres, plan.slots)
         self.placers = []
         self.held: list[_held.HeldOpenings[_PlaceFunction]] = []
         self.reports: list[dict[int, dict[int, int]]] = []
