A caller's first packet never waits for a slot

Change: only copies wait, whose callers have waited 0.2 s already. Test: who comes now never waits, whatever the estimates say; it failed before.

--- a/bluebelltide/placement/_openings.py
+++ b/bluebelltide/placement/_openings.py
@@ -181,7 +181,9 @@
         outcome = OpeningOutcome.NEW if flow is None else OpeningOutcome.MOVED
         fit = self._fit_targets(service, now_ms)
         candidates = [self._candidate(token, target) for token, target in fit]
-        if service in self._keeps_flows:
+        if service in self._keeps_flows or copy == 0:
+            # Who comes now never waits: a wrong estimate of lines or of how
+            # long flows take would make everybody late.
             patience = None
         if patience and self._is_late(service, patience, candidates):
             candidates = [one for one in candidates if _choice.has_slot(one)]
