--- a/bluebelltide/catalogue/_store.py
+++ b/bluebelltide/catalogue/_store.py
@@ -118,13 +118,19 @@
         path: The file.
         data: The new content.
     """
+    temporary = _write_temporary(path, data)
+    temporary.replace(path)
+    _fsync_folder(path.parent)
+
+
+def _write_temporary(path: pathlib.Path, data: bytes) -> pathlib.Path:
+    """Writes the new content of a file durably to another file beside it."""
     temporary = path.with_suffix(".new")
     with temporary.open("wb") as file:
         file.write(data)
         file.flush()
         os.fsync(file.fileno())
-    temporary.replace(path)
-    _fsync_folder(path.parent)
+    return temporary
 
 
 def _file_generation(path: pathlib.Path) -> int:
@@ -142,6 +148,9 @@
         self._generation = 0
         self._acceptor_states: dict[str, _register.AcceptorState] = {}
         self._may_have_torn_tail = False
+        # A restart may find the snapshot of the next generation, which makes
+        # it ignore the present log. No record may then be appended to that.
+        self._is_log_superseded = False
 
     def start(self) -> RecoveredState:
         """Opens the folder and recovers the state.
@@ -170,10 +179,10 @@
             self._acceptor_states = {
                 record.key: record.acceptor_state for record in records
             }
-        torn_bytes = self._open_log()
+        torn_bytes = self._recover_log()
         return RecoveredState(dict(self._acceptor_states), torn_bytes)
 
-    def _open_log(self) -> int:
+    def _recover_log(self) -> int:
         path = self._folder / f"log-{self._generation}"
         data = path.read_bytes() if path.exists() else b""
         records, valid_bytes = decode_records(data, str(path))
@@ -200,6 +209,8 @@
         assert self._log is not None
         pending = list(writes)
         data = b"".join(encode_record(write) for write in pending)
+        if self._is_log_superseded:
+            self._compact()
         if self._may_have_torn_tail:
             self._truncate_torn_tail()
         self._may_have_torn_tail = True
@@ -232,24 +243,50 @@
         self._may_have_torn_tail = False
 
     def _compact(self) -> None:
+        """Replaces the log by a snapshot and an empty log.
+
+        Raises:
+            OSError: If a step fails. Writes go on in the present log, or call
+                this again first if a restart may already ignore that log.
+        """
         assert self._log is not None
         data = b"".join(
             encode_record(_register.AcceptorStateWrite(key, acceptor_state))
             for key, acceptor_state in sorted(self._acceptor_states.items())
         )
         old_generation = self._generation
+        new_generation = old_generation + 1
+        snapshot = self._folder / f"snapshot-{new_generation}"
+        temporary = _write_temporary(snapshot, data)
+        self._is_log_superseded = True
+        temporary.replace(snapshot)
+        _fsync_folder(self._folder)
         # The new log must not exist before the snapshot on which it is based,
         # and the old files may be deleted only once both exist.
-        write_file_atomically(
-            self._folder / f"snapshot-{old_generation + 1}", data
-        )
-        self._generation = old_generation + 1
-        self._log.close()
-        self._open_log()
+        self._open_empty_log(new_generation)
         for name in (f"log-{old_generation}", f"snapshot-{old_generation}"):
             (self._folder / name).unlink(missing_ok=True)
         _fsync_folder(self._folder)
 
+    def _open_empty_log(self, generation: int) -> None:
+        """Continues in an empty log; on an error nothing changes."""
+        path = self._folder / f"log-{generation}"
+        log = path.open("wb")
+        try:
+            os.fsync(log.fileno())
+            _fsync_folder(self._folder)
+        except OSError:
+            log.close()
+            raise
+        if self._log is not None:
+            with contextlib.suppress(OSError):
+                self._log.close()
+        self._log = log
+        self._log_bytes = 0
+        self._generation = generation
+        self._may_have_torn_tail = False
+        self._is_log_superseded = False
+
     def close(self) -> None:
         """Closes the log."""
         if self._log is not None:
--- a/bluebelltide/catalogue/tests/test_store.py
+++ b/bluebelltide/catalogue/tests/test_store.py
@@ -83,7 +83,7 @@
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     store = write_states(tmp_path, 10)
-    monkeypatch.setattr(store, "_open_log", lambda: 1 / 0)
+    monkeypatch.setattr(store, "_open_empty_log", lambda generation: 1 / 0)
     with pytest.raises(ZeroDivisionError):
         store._compact()
     found = reopen(tmp_path)
