--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -20,7 +20,9 @@
 from bluebelltide.catalogue import _register
 from bluebelltide.catalogue import _store
 from bluebelltide.control import _deployment_replica
+from bluebelltide.control import _renewals
 from bluebelltide.control import _update_publisher
+from bluebelltide.control import _update_sender
 from bluebelltide.control import _voter_replacement
 from bluebelltide.control import _voters
 from bluebelltide.membership import _directory
@@ -28,7 +30,6 @@
 from bluebelltide.membership import _target_file
 from bluebelltide.messaging import _calls
 from bluebelltide.messaging import _datagrams
-from bluebelltide.placement import _affinity
 
 POLL_INTERVAL_MS = 300
 """Time between two polls of each other replica."""
@@ -74,22 +75,21 @@
         self.deployment_replica = _deployment_replica.DeploymentReplica(
             settings,
             _store.Store(settings.data_folder),
-            self._publish_changes,
+            self._push_update,
             metrics,
         )
         self._settings = settings
         self._metrics = metrics
         self._started_ms = _clock.now_ms()
         self._run_id = random.getrandbits(31) | 1
-        # The newest sequence of each target that announces itself here. Polls
-        # report the sequences, so that other replicas renew the leases.
-        self._sequences_by_token: dict[int, int] = {}
+        self._renewals = _renewals.Renewals(self.directory)
         self._keys_being_fetched: set[str] = set()
         self._recovered_target_count = 0
         self._previous_entry_hosts: tuple[str, ...] = ()
         self._last_saved: tuple[int, tuple[str, ...]] = (0, ())
         self._own_replica = _datagrams.Replica("", settings.data_centre)
         self._publisher: _update_publisher.UpdatePublisher | None = None
+        self._update_sender: _update_sender.UpdateSender | None = None
         self._replica_poller: _replica_poller.ReplicaPoller | None = None
         self._socket: _batch_socket.BatchSocket | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -110,6 +110,9 @@
         self._publisher = _update_publisher.UpdatePublisher(
             self._own_replica, self._run_id, self.directory
         )
+        self._update_sender = _update_sender.UpdateSender(
+            self._publisher, self._status, self._send_data, tasks
+        )
         self._replica_poller = _replica_poller.ReplicaPoller(
             settings.host, settings.data_centre, self._own_replica
         )
@@ -145,10 +148,9 @@
     def record_announcement(self, target: _types.Target) -> None:
         """Records a target's announcement; a change is published at once."""
         record = _directory.TargetRecord(target)
-        self._sequences_by_token[_affinity.compute_token(target)] = (
-            target.sequence
-        )
-        if self.directory.merge(record, _clock.now_ms()):
+        now_ms = _clock.now_ms()
+        self._renewals.record(target, now_ms)
+        if self.directory.merge(record, now_ms):
             self._metrics.count("target", target.state)
             events.write(
                 "target_changed",
@@ -160,14 +162,14 @@
                 sequence=target.sequence,
                 cold_remaining_ms=target.cold_remaining_ms,
             )
-            self._publish_changes()
+            self._push_update()
 
     def deregister_target(self, target_id: _types.TargetId) -> None:
         """Records that a target leaves."""
         if self.directory.mark_as_left(target_id, _clock.now_ms()):
             self._metrics.count("target", "left")
             events.write("target_left", target=target_id)
-            self._publish_changes()
+            self._push_update()
 
     async def _serve_call(self, stream: anyio.abc.SocketStream) -> None:
         await _calls.serve_call(stream, self.deployment_replica.handle_call)
@@ -204,7 +206,7 @@
                 self._previous_entry_hosts, self._status(), _clock.now_ms()
             )
             for notice in notices:
-                self._send(notice.host, notice.update)
+                self._send_data(notice.host, notice.encoded.data)
             await anyio.sleep(interval_ms / 1000)
 
     async def _save_for_restart_forever(self) -> None:
@@ -234,7 +236,10 @@
                 membership,
             )
         except OSError as error:
+            # A restart would recover targets that have left since the last
+            # success, so the next check tries again.
             events.write("targets_not_stored", error=str(error))
+            return
         self._last_saved = state_to_save
 
     async def _save_deployment(self, state: _register.RegisterState) -> None:
@@ -273,16 +278,16 @@
             ).version,
         )
 
-    def _publish_changes(self) -> None:
-        if self._publisher is None:
-            return
-        updates = self._publisher.make_updates(self._status(), _clock.now_ms())
-        for outgoing in updates:
-            self._send(outgoing.host, outgoing.update)
+    def _push_update(self, is_first_hand: bool = True) -> None:
+        """Sends a change to other processes; see `UpdateSender.push`."""
+        if self._update_sender is not None:
+            self._update_sender.push(is_first_hand)
 
     def _send(self, host: str, message: _datagrams.Message) -> None:
+        self._send_data(host, _datagrams.encode_datagram(message))
+
+    def _send_data(self, host: str, data: bytes) -> None:
         assert self._socket is not None
-        data = _datagrams.encode_datagram(message)
         if not self._socket.send(data, (host, self._settings.port)):
             self._metrics.count("dropped", "send_failed")
 
@@ -301,19 +306,12 @@
         assert self._publisher is not None
         now_ms = _clock.now_ms()
         self._publisher.record_poll(poll, now_ms)
-        self._renew_targets(_datagrams.unpack_renewals(poll.renewals), now_ms)
-        update = self._publisher.answer_poll(poll, self._status(), now_ms)
-        self._send(poll.sender, update)
-
-    def _renew_targets(
-        self, sequences_by_token: dict[int, int], now_ms: int
-    ) -> None:
-        if not sequences_by_token:
-            return
-        for target in list(self.directory.incarnations()):
-            sequence = sequences_by_token.get(_affinity.compute_token(target))
-            if sequence is not None:
-                self.directory.renew(target.target_id, sequence, now_ms)
+        self._renewals.apply(_datagrams.unpack_renewals(poll.renewals), now_ms)
+        encoded = self._publisher.answer_poll(poll, self._status(), now_ms)
+        self._send_data(poll.sender, encoded.data)
+        peer_list = self._publisher.answer_with_peers(poll, now_ms)
+        if peer_list is not None:
+            self._send_data(poll.sender, peer_list)
 
     def _on_update(self, update: _datagrams.Update) -> None:
         assert self._replica_poller is not None
@@ -330,7 +328,7 @@
             # An entry instance may be unable to reach the replica that sent
             # the change, so this replica forwards it. A record that is already
             # known is not forwarded, so forwarding ends.
-            self._publish_changes()
+            self._push_update(is_first_hand=False)
 
     def _fetch_newer_states(self, update: _datagrams.Update) -> None:
         voters = self.deployment_replica.committed_voters
@@ -362,8 +360,11 @@
 
     def _send_poll(self, host: str) -> None:
         assert self._replica_poller is not None
-        renewals = _datagrams.pack_renewals(self._sequences_by_token)
-        self._send(host, self._replica_poller.make_poll(host, renewals))
+        renewals = self._renewals.recent(_clock.now_ms())
+        poll = self._replica_poller.make_poll(
+            host, _datagrams.pack_renewals(renewals)
+        )
+        self._send(host, poll)
 
     async def _poll_forever(self) -> None:
         assert self._replica_poller is not None
@@ -375,6 +376,7 @@
 
     def _expire_targets(self) -> None:
         self.directory.purge_tombstones(_clock.now_ms())
+        self._renewals.forget_old(_clock.now_ms())
         cluster_view = self._cluster_view()
         if cluster_view is None or not _voter_replacement.is_quorum_alive(
             cluster_view
@@ -386,14 +388,7 @@
             self._metrics.count("target", "expired")
             events.write("target_expired", target=target_id, silent_ms=lease_ms)
         if expired:
-            self._publish_changes()
-        live_tokens = {
-            _affinity.compute_token(target)
-            for target in self.directory.live_targets()
-        }
-        for token in list(self._sequences_by_token):
-            if token not in live_tokens:
-                del self._sequences_by_token[token]
+            self._push_update()
 
     async def _confirm_and_plan_forever(self) -> None:
         while True:
--- a/bluebelltide/control/_update_publisher.py
+++ b/bluebelltide/control/_update_publisher.py
@@ -3,19 +3,26 @@
 The publisher records which processes poll and up to which change each is
 informed. It creates the updates; sending them is left to its user, so that
 this module does no input or output.
+
+An update is encoded once for all receivers that know the same changes.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
+import xxhash
+
 from bluebelltide.control import _voter_replacement
 from bluebelltide.membership import _directory
+from bluebelltide.membership import _peer_ring
 from bluebelltide.messaging import _datagrams
 
 POLLER_TIMEOUT_MS = 3000
 """How long after its latest poll a process gets updates without polling."""
-MAXIMUM_ENTRY_HOSTS = 16
-"""How many local, and how many remote, entry instances an update lists."""
+RING_INTERVAL_MS = 200
+"""Minimum time between two changes of the ring of entry instances."""
+MAXIMUM_ENCODED_UPDATES = 500
+"""How many encoded updates are kept for further receivers."""
 
 
 class _Poller(NamedTuple):
@@ -40,20 +47,38 @@
     may be uncommitted."""
 
 
+class EncodedUpdate(NamedTuple):
+    """An update with its datagram."""
+
+    update: _datagrams.Update
+    """The update."""
+    data: bytes
+    """The encoded update."""
+
+
 class OutgoingUpdate(NamedTuple):
-    """An update and its receiver."""
+    """An encoded update and its receiver."""
 
     host: str
     """The address of the receiver's machine."""
-    update: _datagrams.Update
+    encoded: EncodedUpdate
     """The update."""
 
 
+class _Basis(NamedTuple):
+    """What updates are made from, besides the receiver's known changes."""
+
+    last_index: int
+    status: ReplicaStatus
+    replicas: tuple[_datagrams.Replica, ...]
+
+
 class UpdatePublisher:
     """Records the pollers of one replica and creates updates for them.
 
     Attributes:
         seen_replicas: The other replicas, by identity.
+        encoding_count: How many messages were encoded so far.
     """
 
     def __init__(
@@ -73,7 +98,13 @@
         self._own_replica = own_replica
         self._run_id = run_id
         self._directory = directory
+        self.encoding_count = 0
         self._pollers: dict[str, _Poller] = {}
+        self._basis: _Basis | None = None
+        self._encoded_updates: dict[int, EncodedUpdate] = {}
+        self._ring = _peer_ring.PeerRing({})
+        self._ring_made_ms = -RING_INTERVAL_MS
+        self._peer_lists: dict[str, tuple[int, bytes]] = {}
 
     def record_poll(self, poll: _datagrams.Poll, now_ms: int) -> None:
         """Records which process polls and which changes it knows."""
@@ -92,7 +123,7 @@
         poll: _datagrams.Poll,
         status: ReplicaStatus,
         now_ms: int,
-    ) -> _datagrams.Update:
+    ) -> EncodedUpdate:
         """Creates the answer to a poll.
 
         Args:
@@ -104,26 +135,85 @@
             The update for the poll's sender.
         """
         index = poll.known_index if poll.run_id == self._run_id else 0
+        basis = _Basis(
+            self._directory.last_index, status, self._live_replicas(now_ms)
+        )
+        is_full = len(self._encoded_updates) >= MAXIMUM_ENCODED_UPDATES
+        if basis != self._basis or is_full:
+            self._basis = basis
+            self._encoded_updates.clear()
+        encoded = self._encoded_updates.get(index)
+        if encoded is None:
+            encoded = self._encode_update(index, basis)
+            self._encoded_updates[index] = encoded
+        return encoded
+
+    def _encode_update(self, index: int, basis: _Basis) -> EncodedUpdate:
+        """Creates the update for receivers that know changes up to `index`."""
         changes = self._directory.changes_since(index)
         batch = changes[: _datagrams.RECORDS_PER_UPDATE]
-        last_index = (
-            batch[-1].change_index if batch else self._directory.last_index
-        )
-        return _datagrams.Update(
+        update = _datagrams.Update(
             self._own_replica,
             self._run_id,
             index,
-            last_index,
+            batch[-1].change_index if batch else basis.last_index,
             len(changes) > len(batch),
-            status.has_complete_view,
-            status.deployment_version,
-            status.voters_version,
-            self._live_replicas(now_ms),
-            self._other_entry_hosts(poll, True, now_ms),
-            self._other_entry_hosts(poll, False, now_ms),
+            basis.status.has_complete_view,
+            basis.status.deployment_version,
+            basis.status.voters_version,
+            basis.replicas,
             tuple(change.record for change in batch),
-            status.unconfirmed_version,
+            basis.status.unconfirmed_version,
+        )
+        self.encoding_count += 1
+        return EncodedUpdate(update, _datagrams.encode_datagram(update))
+
+    def answer_with_peers(
+        self, poll: _datagrams.Poll, now_ms: int
+    ) -> bytes | None:
+        """Returns the peer list for a poll's sender, encoded.
+
+        Args:
+            poll: The poll.
+            now_ms: The current time.
+
+        Returns:
+            The datagram, or None if the sender needs no other list.
+        """
+        if poll.replica is not None:
+            return None
+        if now_ms - self._ring_made_ms >= RING_INTERVAL_MS:
+            self._ring_made_ms = now_ms
+            self._ring = _peer_ring.PeerRing(self._live_entries(now_ms))
+            self._peer_lists.clear()
+        known = self._peer_lists.get(poll.sender)
+        if known is None:
+            known = self._encode_peer_list(poll)
+            self._peer_lists[poll.sender] = known
+        version, data = known
+        return None if version == poll.peers_version else data
+
+    def _encode_peer_list(self, poll: _datagrams.Poll) -> tuple[int, bytes]:
+        peers = self._ring.peers_of(poll.sender, poll.data_centre)
+        content = "|".join((*peers.local_hosts, "", *peers.remote_hosts))
+        version = xxhash.xxh32_intdigest(content.encode()) or 1
+        peer_list = _datagrams.PeerList(
+            version,
+            peers.local_hosts,
+            peers.remote_hosts,
+            self._ring.instance_count,
         )
+        self.encoding_count += 1
+        return version, _datagrams.encode_datagram(peer_list)
+
+    def _live_entries(self, now_ms: int) -> dict[str, str]:
+        """Returns the data centres of the entry instances that poll."""
+        return {
+            host: poller.latest_poll.data_centre
+            for host, poller in self._pollers.items()
+            if poller.latest_poll.replica is None
+            and now_ms - poller.last_seen_ms <= POLLER_TIMEOUT_MS
+        }
 
     def entry_hosts(self) -> tuple[str, ...]:
         """Returns the addresses of the entry instances that poll."""
@@ -163,24 +253,51 @@
         ]
 
     def make_updates(
-        self, status: ReplicaStatus, now_ms: int
+        self, status: ReplicaStatus, now_ms: int, is_first_hand: bool = True
     ) -> list[OutgoingUpdate]:
-        """Creates updates for every process that polled recently."""
+        """Creates updates for the processes that polled recently.
+
+        Args:
+            status: What to report besides the targets.
+            now_ms: The current time.
+            is_first_hand: Whether a change did not come from another replica.
+                A change that did is not repeated to instances to which that
+                replica and the one in their own data centre send it.
+        """
+        live_data_centres = {
+            replica.data_centre for replica in self._live_replicas(now_ms)
+        }
         updates = []
         for host, poller in list(self._pollers.items()):
             if now_ms - poller.last_seen_ms > POLLER_TIMEOUT_MS:
                 del self._pollers[host]
                 continue
-            update = self.answer_poll(poller.latest_poll, status, now_ms)
-            updates.append(OutgoingUpdate(host, update))
+            poll = poller.latest_poll
+            if not is_first_hand and self._has_nearer_replica(
+                poll, live_data_centres
+            ):
+                continue
+            encoded = self.answer_poll(poll, status, now_ms)
+            updates.append(OutgoingUpdate(host, encoded))
             # The update counts as received. A process that missed it finds a
             # gap before the next update's first index and polls again.
-            poll = poller.latest_poll._replace(
-                run_id=self._run_id, known_index=update.last_index
+            self._pollers[host] = poller._replace(
+                latest_poll=poll._replace(
+                    run_id=self._run_id, known_index=encoded.update.last_index
+                )
             )
-            self._pollers[host] = poller._replace(latest_poll=poll)
         return updates
 
+    def _has_nearer_replica(
+        self, poll: _datagrams.Poll, live_data_centres: set[str]
+    ) -> bool:
+        """Returns whether another replica is in the data centre of a poller."""
+        return (
+            poll.replica is None
+            and poll.data_centre != self._own_replica.data_centre
+            and poll.data_centre in live_data_centres
+        )
+
     def _live_replicas(self, now_ms: int) -> tuple[_datagrams.Replica, ...]:
         return tuple(
             seen.replica
@@ -188,22 +305,6 @@
             if now_ms - seen.last_seen_ms <= POLLER_TIMEOUT_MS
         )
 
-    def _other_entry_hosts(
-        self, poll: _datagrams.Poll, is_local: bool, now_ms: int
-    ) -> tuple[str, ...]:
-        """Returns entry instances in, or outside, the poll's data centre."""
-        if poll.replica is not None:
-            return ()
-        hosts = [
-            poller.latest_poll.sender
-            for poller in self._pollers.values()
-            if poller.latest_poll.replica is None
-            and poller.latest_poll.sender != poll.sender
-            and (poller.latest_poll.data_centre == poll.data_centre) == is_local
-            and now_ms - poller.last_seen_ms <= POLLER_TIMEOUT_MS
-        ]
-        return tuple(sorted(hosts)[:MAXIMUM_ENTRY_HOSTS])
-
     def forget_silent_replicas(self, now_ms: int, keep_ms: int) -> None:
         """Forgets replicas that were silent for longer than `keep_ms`."""
         for identity, seen in list(self.seen_replicas.items()):
--- a/bluebelltide/control/tests/test_update_publisher.py
+++ b/bluebelltide/control/tests/test_update_publisher.py
@@ -1,5 +1,7 @@
 """Tests of the updates that a control replica creates for its pollers."""
 
+import pytest
+
 from bluebelltide.control import _update_publisher
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _replica_poller
@@ -34,7 +36,9 @@
     poller.set_seed_hosts(("10.0.0.1",), 0)
     received = _directory.TargetDirectory()
     for _ in range(10):
-        update = publisher.answer_poll(poller.make_poll("10.0.0.1"), STATUS, 0)
+        update = publisher.answer_poll(
+            poller.make_poll("10.0.0.1"), STATUS, 0
+        ).update
         assert len(update.records) <= _datagrams.RECORDS_PER_UPDATE
         for record in update.records:
             received.merge(record, 0)
@@ -46,11 +50,15 @@
 def test_a_change_is_in_the_next_updates_only() -> None:
     publisher, directory = make_publisher(3)
     publisher.record_poll(poll_from("10.0.0.9"), now_ms=0)
-    assert len(publisher.make_updates(STATUS, 10)[0].update.records) == 3
+    assert (
+        len(publisher.make_updates(STATUS, 10)[0].encoded.update.records) == 3
+    )
     directory.mark_as_left("i-1", 10)
     (outgoing,) = publisher.make_updates(STATUS, 10)
-    assert [r.target.target_id for r in outgoing.update.records] == ["i-1"]
-    assert outgoing.update.first_index == 3
+    assert [r.target.target_id for r in outgoing.encoded.update.records] == [
+        "i-1"
+    ]
+    assert outgoing.encoded.update.first_index == 3
 
 
 def test_instances_of_the_previous_run_get_notices_until_they_poll() -> None:
@@ -70,7 +78,7 @@
     # after it has received the notice.
     poller = _replica_poller.ReplicaPoller("10.0.0.9", "north", None)
     poller.set_seed_hosts(("10.0.0.2",), 0)
-    poller.receive(outgoing.update, 0)
+    poller.receive(outgoing.encoded.update, 0)
     assert "10.0.0.1" in poller.hosts(0)
     publisher.record_poll(poller.make_poll("10.0.0.1"), now_ms=5)
     assert publisher.make_restart_notices(hosts, STATUS, now_ms=10) == []
@@ -85,7 +93,7 @@
     )
 
 
-def test_updates_list_other_entry_instances_by_data_centre() -> None:
+def test_instances_learn_other_instances_by_data_centre() -> None:
     publisher, _ = make_publisher(0)
     for host, data_centre in (
         ("10.0.0.7", "north"),
@@ -93,14 +101,75 @@
         ("10.0.0.9", "south"),
     ):
         publisher.record_poll(poll_from(host, data_centre), now_ms=0)
-    update = publisher.answer_poll(poll_from("10.0.0.7"), STATUS, 0)
-    assert update.local_entry_hosts == ("10.0.0.8",)
-    assert update.remote_entry_hosts == ("10.0.0.9",)
+    data = publisher.answer_with_peers(poll_from("10.0.0.7"), 0)
+    assert data is not None
+    peers = _datagrams.decode_datagram(data, "test")
+    assert isinstance(peers, _datagrams.PeerList)
+    assert peers.local_hosts == ("10.0.0.8",)
+    assert peers.remote_hosts == ("10.0.0.9",)
+    assert peers.instance_count == 3
+    same = poll_from("10.0.0.7")._replace(peers_version=peers.version)
+    assert publisher.answer_with_peers(same, 0) is None
+
+
+def test_an_instance_gets_another_peer_list_once_its_peers_change() -> None:
+    publisher, _ = make_publisher(0)
+    publisher.record_poll(poll_from("10.0.0.7"), now_ms=0)
+    data = publisher.answer_with_peers(poll_from("10.0.0.7"), 0)
+    assert data is not None
+    peers = _datagrams.decode_datagram(data, "test")
+    assert isinstance(peers, _datagrams.PeerList)
+    poll = poll_from("10.0.0.7")._replace(peers_version=peers.version)
+    publisher.record_poll(poll_from("10.0.0.8"), now_ms=10)
+    later_ms = _update_publisher.RING_INTERVAL_MS
+    assert publisher.answer_with_peers(poll, later_ms) is not None
+
+
+@pytest.mark.parametrize("instances", [30, 100, 300, 1000])
+def test_a_change_is_encoded_once_for_all_instances(instances: int) -> None:
+    publisher, directory = make_publisher(10)
+    polls = [
+        poll_from(f"10.1.{number // 250}.{number % 250}")
+        for number in range(instances)
+    ]
+    for poll in polls:
+        publisher.record_poll(poll, now_ms=0)
+    publisher.make_updates(STATUS, 1)
+    before = publisher.encoding_count
+    directory.mark_as_left("i-1", 2)
+    assert len(publisher.make_updates(STATUS, 2)) == instances
+    known = polls[0]._replace(run_id=7, known_index=directory.last_index)
+    for poll in polls:
+        publisher.answer_poll(known._replace(sender=poll.sender), STATUS, 3)
+    assert publisher.encoding_count - before <= 2
+
+
+def test_a_change_from_another_replica_is_repeated_where_it_is_needed() -> None:
+    publisher, directory = make_publisher(1)
+    publisher.record_replica(_datagrams.Replica("10.0.0.2~0", "south"), 0)
+    for host, data_centre in (
+        ("10.0.0.7", "north"),
+        ("10.0.0.8", "south"),
+        ("10.0.0.9", "west"),
+    ):
+        publisher.record_poll(poll_from(host, data_centre), now_ms=0)
+    publisher.make_updates(STATUS, 0)
+    directory.mark_as_left("i-0", 1)
+    repeated = publisher.make_updates(STATUS, 1, is_first_hand=False)
+    # South has a replica of its own, west has none.
+    assert {one.host for one in repeated} == {"10.0.0.7", "10.0.0.9"}
+    # The next update to south begins where its last one ended.
+    directory.merge(
+        _directory.TargetRecord(test_directory.make_target("new", port=9)), 2
+    )
+    updates = {one.host: one for one in publisher.make_updates(STATUS, 2)}
+    assert updates["10.0.0.8"].encoded.update.first_index == 1
+    assert updates["10.0.0.7"].encoded.update.first_index == 2
 
 
 def test_a_poll_with_an_index_of_another_run_gets_all_records() -> None:
     publisher, _ = make_publisher(2)
     poll = poll_from("10.0.0.9")._replace(run_id=6, known_index=2)
-    assert len(publisher.answer_poll(poll, STATUS, 0).records) == 2
+    assert len(publisher.answer_poll(poll, STATUS, 0).update.records) == 2
     same_run = poll._replace(run_id=7)
-    assert publisher.answer_poll(same_run, STATUS, 0).records == ()
+    assert publisher.answer_poll(same_run, STATUS, 0).update.records == ()
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -20,6 +20,7 @@
 from bluebelltide import _types
 from bluebelltide._events import events
 from bluebelltide.catalogue import _deployment
+from bluebelltide.entry import _load_reporter
 from bluebelltide.fronts import _token_front
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _replica_poller
@@ -30,28 +31,16 @@
 POLL_INTERVAL_MS = 200
 """Time between two polls; each goes to the next replica in turn."""
 STARTING_POLL_INTERVAL_MS = 50
-"""Time between two polls of all replicas while routes or targets are
-unknown."""
-LOCAL_REPORT_INTERVAL_MS = 10
-"""Minimum time between load reports to peers in the same data centre."""
-REMOTE_REPORT_INTERVAL_MS = 150
-"""Minimum time between load reports to peers in other data centres."""
-LOCAL_REPORTS_PER_S = 200
-"""Maximum rate of load reports to peers in the same data centre."""
-REMOTE_REPORTS_PER_S = 40
-"""Maximum rate of load reports to peers in other data centres."""
-BUSY_REMOTE_REPORT_INTERVAL_MS = 20
-"""Minimum time between load reports to peers in other data centres while
-packets are held until a slot is free."""
-BUSY_REMOTE_REPORTS_PER_S = 300
-"""Maximum rate of load reports to peers in other data centres while packets
-are held until a slot is free."""
-HELD_PACKET_CHECK_INTERVAL_MS = 10
-"""Time between two checks whether a slot is free for a held packet."""
-REPORT_LIFETIME_MS = 1000
-"""How long the load report of a peer is used."""
+"""Time between the first two polls of all replicas while routes or targets are
+unknown; it doubles with each poll, so that replicas that start together with
+many instances are not overloaded."""
+STARTING_POLL_LIMIT_MS = 400
+"""Upper bound of the time between two polls of all replicas."""
 FETCH_TIMEOUT_MS = 1000
 """Timeout of fetching a deployment."""
+REMOTE_FETCH_DELAY_MS = 100
+"""How long an instance with routes waits at most for the replica of its own
+data centre to offer a new deployment before it fetches it from another."""
 STOP_DELAY_MS = 2500
 """How long a stopping instance forwards packets after it became unready."""
 EXPIRY_INTERVAL_MS = 100
@@ -80,34 +69,6 @@
     """Where `port` is bound and from which calls are made; `host` if empty."""
 
 
-def report_interval_ms(
-    peer_count: int, minimum_ms: int, maximum_reports_per_s: int
-) -> int:
-    """Returns the time between two rounds of load reports.
-
-    The number of reports grows with the square of the number of instances, so
-    instances with many peers report less often.
-
-    Args:
-        peer_count: How many peers get each report.
-        minimum_ms: The interval with few peers.
-        maximum_reports_per_s: How many reports may be sent per second.
-
-    Returns:
-        The interval in milliseconds.
-    """
-    return max(minimum_ms, peer_count * 1000 // maximum_reports_per_s)
-
-
-class _PeerReport(NamedTuple):
-    """The newest load report of a peer."""
-
-    flows: dict[int, int]
-    """The number of open flows by target token."""
-    received_ms: int
-    """When the report arrived."""
-
-
 class DirectEntry:
     """Runs one entry instance of a direct deployment."""
 
@@ -144,12 +105,14 @@
             self._log_request,
             self._log_flow_end,
         )
+        self._reporter = _load_reporter.LoadReporter(
+            settings.host, self._placer, self._front, self._send_datagram
+        )
         self._is_stopping = False
         self._is_fetching = False
         self._is_confirmed = False
-        self._local_peers: tuple[str, ...] = ()
-        self._remote_peers: tuple[str, ...] = ()
-        self._peer_reports: dict[str, _PeerReport] = {}
+        # The replica to fetch a newer deployment from.
+        self._offering_replica = _datagrams.Replica("", "")
         self._packet_socket: _batch_socket.BatchSocket | None = None
         self._update_socket: _batch_socket.BatchSocket | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -180,7 +143,7 @@
         )
         tasks.start_soon(_http1.serve_http, listener, self._answer_readiness)
         tasks.start_soon(self._poll_replicas_forever)
-        tasks.start_soon(self._report_load_forever)
+        tasks.start_soon(self._reporter.run)
         tasks.start_soon(self._expire_flows_forever)
         events.write("started", address=str(settings.packet_address))
 
@@ -273,7 +236,9 @@
         if isinstance(message, _datagrams.Update):
             self._on_update(message, now_ms)
         elif isinstance(message, _datagrams.LoadReport):
-            self._on_load_report(message, now_ms)
+            self._reporter.receive(message, now_ms)
+        elif isinstance(message, _datagrams.PeerList):
+            self._reporter.peers = message
 
     def _on_update(self, update: _datagrams.Update, now_ms: int) -> None:
         has_changed = False
@@ -283,8 +248,6 @@
             has_changed |= self._directory.merge(record, now_ms)
         if self._replica_poller.receive(update, now_ms):
             self._send_poll(update.replica.host)
-        self._local_peers = update.local_entry_hosts
-        self._remote_peers = update.remote_entry_hosts
         has_complete_view = update.has_complete_view and not update.has_more
         if has_complete_view and not self._front.has_all_targets:
             self._front.has_all_targets = True
@@ -292,7 +255,7 @@
         if has_changed:
             self._apply_targets()
         if self._should_fetch_deployment(update):
-            self._start_fetch(update.replica.host)
+            self._start_fetch(update.replica)
 
     def _should_fetch_deployment(self, update: _datagrams.Update) -> bool:
         """Returns whether to fetch the deployment of an update's sender."""
@@ -306,10 +269,13 @@
             not is_confirmed_or_absent and update.deployment_version == version
         )
 
-    def _start_fetch(self, host: str) -> None:
+    def _start_fetch(self, replica: _datagrams.Replica) -> None:
+        is_local = replica.data_centre == self._settings.data_centre
+        if is_local or not self._is_fetching:
+            self._offering_replica = replica
         if not self._is_fetching and self._tasks is not None:
             self._is_fetching = True
-            self._tasks.start_soon(self._fetch_deployment, host)
+            self._tasks.start_soon(self._fetch_deployment)
 
     def _apply_targets(self) -> None:
         known, accepting = _token_front.index_targets_by_token(
@@ -325,11 +291,22 @@
         routes = self._front.routes
         return -1 if routes is None else routes.deployment.version
 
-    async def _fetch_deployment(self, host: str) -> None:
-        """Fetches and applies the newest deployment that a replica has."""
+    async def _fetch_deployment(self) -> None:
+        """Fetches and applies the newest deployment that a replica has.
+
+        All instances learn of a new deployment at the same time. So that they
+        do not all fetch it from one replica, they prefer the local one.
+        """
         try:
+            data_centre = self._offering_replica.data_centre
+            is_local = data_centre == self._settings.data_centre
+            if self._front.routes is not None and not is_local:
+                delay_ms = REMOTE_FETCH_DELAY_MS * random.uniform(0.5, 1)
+                await anyio.sleep(delay_ms / 1000)
             answer = await _calls.call(
-                _types.Address(host, self._settings.port),
+                _types.Address(
+                    self._offering_replica.host, self._settings.port
+                ),
                 "",
                 _calls.Fetch(_deployment.DEPLOYMENT_KEY, True),
                 FETCH_TIMEOUT_MS,
@@ -366,117 +343,30 @@
             is_confirmed=is_committed,
         )
 
-    def _send_message(self, host: str, message: _datagrams.Message) -> None:
-        self._send_datagram(host, _datagrams.encode_datagram(message))
-
     def _send_datagram(self, host: str, data: bytes) -> None:
         assert self._update_socket is not None
         if not self._update_socket.send(data, (host, self._settings.port)):
             self._metrics.count("dropped", "send_failed")
 
     def _send_poll(self, host: str) -> None:
-        self._send_message(host, self._replica_poller.make_poll(host))
+        poll = self._replica_poller.make_poll(
+            host, peers_version=self._reporter.peers_version
+        )
+        self._send_datagram(host, _datagrams.encode_datagram(poll))
 
     async def _poll_replicas_forever(self) -> None:
+        interval_ms = STARTING_POLL_INTERVAL_MS
         while not self._has_routes_and_targets:
             for host in self._replica_poller.hosts(_clock.now_ms()):
                 self._send_poll(host)
-            await anyio.sleep(STARTING_POLL_INTERVAL_MS / 1000)
+            await anyio.sleep(interval_ms * random.uniform(0.75, 1.25) / 1000)
+            interval_ms = min(2 * interval_ms, STARTING_POLL_LIMIT_MS)
         while True:
             next_host = self._replica_poller.next_host(_clock.now_ms())
             if next_host is not None:
                 self._send_poll(next_host)
             await anyio.sleep(POLL_INTERVAL_MS / 1000)
 
-    def _report_intervals_ms(self) -> tuple[int, int]:
-        """Returns the times between reports to local and remote peers."""
-        remote_interval_ms, remote_reports_per_s = (
-            REMOTE_REPORT_INTERVAL_MS,
-            REMOTE_REPORTS_PER_S,
-        )
-        if self._front.held_packet_count:
-            # Slots are scarce, so instances must learn sooner of the flows
-            # that others placed on the same targets.
-            remote_interval_ms, remote_reports_per_s = (
-                BUSY_REMOTE_REPORT_INTERVAL_MS,
-                BUSY_REMOTE_REPORTS_PER_S,
-            )
-        return (
-            report_interval_ms(
-                len(self._local_peers),
-                LOCAL_REPORT_INTERVAL_MS,
-                LOCAL_REPORTS_PER_S,
-            ),
-            report_interval_ms(
-                len(self._remote_peers),
-                remote_interval_ms,
-                remote_reports_per_s,
-            ),
-        )
-
-    async def _report_load_forever(self) -> None:
-        local_sent_ms = remote_sent_ms = 0
-        last_report: _datagrams.LoadReport | None = None
-        while True:
-            local_interval_ms, remote_interval_ms = self._report_intervals_ms()
-            has_held_packets = self._front.held_packet_count > 0
-            wait_ms = (
-                min(local_interval_ms, HELD_PACKET_CHECK_INTERVAL_MS)
-                if has_held_packets
-                else local_interval_ms
-            )
-            await anyio.sleep(wait_ms / 1000)
-            now_ms = _clock.now_ms()
-            self._front.release_held_packets(now_ms)
-            report = self._make_load_report(now_ms)
-            is_remote_due = now_ms - remote_sent_ms >= remote_interval_ms
-            is_local_due = now_ms - local_sent_ms >= local_interval_ms
-            if is_remote_due or (is_local_due and report != last_report):
-                last_report = report
-                local_sent_ms = now_ms
-                self._send_report(self._local_peers, report)
-            if is_remote_due:
-                remote_sent_ms = now_ms
-                self._send_report(self._remote_peers, report)
-                self._update_peer_flows(now_ms)
-
-    def _make_load_report(self, now_ms: int) -> _datagrams.LoadReport:
-        observations = self._placer.observations
-        return _datagrams.LoadReport(
-            self._settings.host,
-            dict(observations.open_flows),
-            tuple(observations.ejected_targets(now_ms)),
-        )
-
-    def _send_report(
-        self, hosts: tuple[str, ...], report: _datagrams.LoadReport
-    ) -> None:
-        data = _datagrams.encode_datagram(report)
-        for host in hosts:
-            self._send_datagram(host, data)
-
-    def _on_load_report(
-        self, report: _datagrams.LoadReport, now_ms: int
-    ) -> None:
-        self._peer_reports[report.sender] = _PeerReport(
-            report.open_flows, now_ms
-        )
-        self._placer.observations.note_peer_ejections(
-            report.ejected_tokens, now_ms
-        )
-        self._update_peer_flows(now_ms)
-
-    def _update_peer_flows(self, now_ms: int) -> None:
-        total: dict[int, int] = {}
-        for sender, report in list(self._peer_reports.items()):
-            if now_ms - report.received_ms > REPORT_LIFETIME_MS:
-                del self._peer_reports[sender]
-                continue
-            for token, flows in report.flows.items():
-                total[token] = total.get(token, 0) + flows
-        self._placer.peer_flows = total
-        self._placer.peer_count = len(self._peer_reports)
-
     async def _expire_flows_forever(self) -> None:
         while True:
             await anyio.sleep(EXPIRY_INTERVAL_MS / 1000)
--- /dev/null
+++ b/bluebelltide/entry/_load_reporter.py
@@ -0,0 +1,196 @@
+"""Load reports that entry instances of a direct deployment exchange.
+
+Each instance reports the flows that it sees on targets to a bounded number of
+other instances (`membership._peer_ring`) and adds up what it is told.
+"""
+
+from collections.abc import Callable
+
+import anyio
+
+from bluebelltide import _clock
+from bluebelltide.fronts import _token_front
+from bluebelltide.messaging import _datagrams
+from bluebelltide.placement import PeerLoads
+from bluebelltide.placement import Placer
+
+LOCAL_REPORT_INTERVAL_MS = 10
+"""Minimum time between load reports to peers in the same data centre."""
+REMOTE_REPORT_INTERVAL_MS = 150
+"""Minimum time between load reports to peers in other data centres."""
+LOCAL_REPORTS_PER_S = 200
+"""Maximum rate of load reports to peers in the same data centre."""
+REMOTE_REPORTS_PER_S = 40
+"""Maximum rate of load reports to peers in other data centres."""
+BUSY_REMOTE_REPORT_INTERVAL_MS = 20
+"""Minimum time between load reports to peers in other data centres while
+packets are held until a slot is free."""
+BUSY_REMOTE_REPORTS_PER_S = 300
+"""Maximum rate of load reports to peers in other data centres while packets
+are held until a slot is free."""
+HELD_PACKET_CHECK_INTERVAL_MS = 10
+"""Time between two checks whether a slot is free for a held packet."""
+
+SendFunction = Callable[[str, bytes], None]
+"""Sends a datagram to the instance on a machine."""
+
+
+def report_interval_ms(
+    peer_count: int, minimum_ms: int, maximum_reports_per_s: int
+) -> int:
+    """Returns the time between two rounds of load reports.
+
+    Instances with many peers report less often, so that the rate of reports
+    is bounded.
+
+    Args:
+        peer_count: How many peers get each report.
+        minimum_ms: The interval with few peers.
+        maximum_reports_per_s: How many reports may be sent per second.
+
+    Returns:
+        The interval in milliseconds.
+    """
+    return max(minimum_ms, peer_count * 1000 // maximum_reports_per_s)
+
+
+class LoadReporter:
+    """Sends the load reports of one instance and receives those of its peers.
+
+    Attributes:
+        peers: The instances that get the reports, or None before they are
+            known.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        placer: Placer,
+        front: _token_front.TokenFront,
+        send: SendFunction,
+    ) -> None:
+        """Creates the reporter.
+
+        Args:
+            host: The address of the instance's machine.
+            placer: Counts the flows and uses what the peers report.
+            front: Holds opening packets until a slot is free.
+            send: Sends a datagram.
+        """
+        self.peers: _datagrams.PeerList | None = None
+        self._host = host
+        self._placer = placer
+        self._front = front
+        self._send = send
+        self._loads = PeerLoads()
+        placer.peer_flows = self._loads.flows
+        self._local_sent_ms = 0
+        self._remote_sent_ms = 0
+        self._last_report: _datagrams.LoadReport | None = None
+
+    @property
+    def peers_version(self) -> int:
+        """The version of the peer list in use; 0 before there is one."""
+        return 0 if self.peers is None else self.peers.version
+
+    @property
+    def _local_hosts(self) -> tuple[str, ...]:
+        return () if self.peers is None else self.peers.local_hosts
+
+    @property
+    def _remote_hosts(self) -> tuple[str, ...]:
+        return () if self.peers is None else self.peers.remote_hosts
+
+    def receive(self, report: _datagrams.LoadReport, now_ms: int) -> None:
+        """Uses the report of a peer."""
+        self._loads.receive(report.sender, report.open_flows, now_ms)
+        self._placer.observations.note_peer_ejections(
+            report.ejected_tokens, now_ms
+        )
+        self._update_peer_count()
+
+    def _update_peer_count(self) -> None:
+        """Sets the number of instances that share the targets' free slots.
+
+        In a large deployment only some of them report to this one.
+        """
+        known = 0 if self.peers is None else self.peers.instance_count - 1
+        reporting = self._loads.peer_count
+        reported = len(self._local_hosts) + len(self._remote_hosts)
+        is_every_instance_a_peer = known <= reported
+        self._placer.peer_count = (
+            reporting if is_every_instance_a_peer else max(known, reporting)
+        )
+
+    def _intervals_ms(self) -> tuple[int, int]:
+        """Returns the times between reports to local and remote peers."""
+        remote_interval_ms, remote_reports_per_s = (
+            REMOTE_REPORT_INTERVAL_MS,
+            REMOTE_REPORTS_PER_S,
+        )
+        if self._front.held_packet_count:
+            # Slots are scarce, so instances must learn sooner of the flows
+            # that others placed on the same targets.
+            remote_interval_ms, remote_reports_per_s = (
+                BUSY_REMOTE_REPORT_INTERVAL_MS,
+                BUSY_REMOTE_REPORTS_PER_S,
+            )
+        return (
+            report_interval_ms(
+                len(self._local_hosts),
+                LOCAL_REPORT_INTERVAL_MS,
+                LOCAL_REPORTS_PER_S,
+            ),
+            report_interval_ms(
+                len(self._remote_hosts),
+                remote_interval_ms,
+                remote_reports_per_s,
+            ),
+        )
+
+    async def run(self) -> None:
+        """Reports the load and releases held packets until cancelled."""
+        while True:
+            local_interval_ms, remote_interval_ms = self._intervals_ms()
+            wait_ms = local_interval_ms
+            if self._front.held_packet_count:
+                wait_ms = min(wait_ms, HELD_PACKET_CHECK_INTERVAL_MS)
+            await anyio.sleep(wait_ms / 1000)
+            now_ms = _clock.now_ms()
+            self._front.release_held_packets(now_ms)
+            self._send_due_reports(
+                local_interval_ms, remote_interval_ms, now_ms
+            )
+
+    def _send_due_reports(
+        self, local_interval_ms: int, remote_interval_ms: int, now_ms: int
+    ) -> None:
+        report = self._make_report(now_ms)
+        is_remote_due = now_ms - self._remote_sent_ms >= remote_interval_ms
+        is_local_due = now_ms - self._local_sent_ms >= local_interval_ms
+        if is_remote_due or (is_local_due and report != self._last_report):
+            self._last_report = report
+            self._local_sent_ms = now_ms
+            self._send_report(self._local_hosts, report)
+        if is_remote_due:
+            self._remote_sent_ms = now_ms
+            self._send_report(self._remote_hosts, report)
+            self._loads.expire(now_ms)
+            self._update_peer_count()
+
+    def _make_report(self, now_ms: int) -> _datagrams.LoadReport:
+        observations = self._placer.observations
+        return _datagrams.LoadReport(
+            self._host,
+            dict(observations.open_flows),
+            tuple(observations.ejected_targets(now_ms)),
+        )
+
+    def _send_report(
+        self, hosts: tuple[str, ...], report: _datagrams.LoadReport
+    ) -> None:
+        if not hosts:
+            return
+        data = _datagrams.encode_datagram(report)
+        for host in hosts:
+            self._send(host, data)
--- a/bluebelltide/entry/tests/test_direct_service.py
+++ b/bluebelltide/entry/tests/test_direct_service.py
@@ -12,22 +12,6 @@
 from bluebelltide.messaging import _datagrams
 
 
-@pytest.mark.parametrize("peers", [0, 1, 2, 5, 16, 100])
-def test_load_reports_stay_within_their_maximum_rate(peers: int) -> None:
-    interval_ms = _direct_service.report_interval_ms(peers, 10, 200)
-    assert interval_ms >= 10
-    assert peers * 1000 / interval_ms <= 200 * 1.01
-
-
-def test_a_report_is_used_until_the_next_one_with_many_peers() -> None:
-    interval_ms = _direct_service.report_interval_ms(
-        16,
-        _direct_service.REMOTE_REPORT_INTERVAL_MS,
-        _direct_service.REMOTE_REPORTS_PER_S,
-    )
-    assert 2 * interval_ms <= _direct_service.REPORT_LIFETIME_MS
-
-
 def make_entry() -> _direct_service.DirectEntry:
     address = _types.Address("127.0.0.1", 0)
     settings = _direct_service.DirectEntrySettings(
@@ -52,8 +36,6 @@
         deployment_version=committed,
         voters_version=1,
         replicas=(),
-        local_entry_hosts=(),
-        remote_entry_hosts=(),
         records=(),
         unconfirmed_version=unconfirmed,
     )
@@ -110,8 +92,6 @@
             deployment_version=-1,
             voters_version=1,
             replicas=(),
-            local_entry_hosts=(),
-            remote_entry_hosts=(),
             records=(record,),
         )
         entry._on_update(update, now_ms)
--- a/bluebelltide/membership/_directory.py
+++ b/bluebelltide/membership/_directory.py
@@ -71,6 +71,8 @@
         self.last_index = 0
         self._records: dict[_types.TargetId, TargetRecord] = {}
         self._change_indexes: dict[_types.TargetId, int] = {}
+        # The same changes by index, oldest first.
+        self._changes: dict[int, _types.TargetId] = {}
         self._last_merged_ms: dict[_types.TargetId, int] = {}
 
     def get(self, target_id: _types.TargetId) -> TargetRecord | None:
@@ -97,8 +99,10 @@
         self._last_merged_ms[target_id] = now_ms
         if not is_material_change(known, record):
             return False
+        self._forget_change(target_id)
         self.last_index += 1
         self._change_indexes[target_id] = self.last_index
+        self._changes[self.last_index] = target_id
         return True
 
     def renew(
@@ -161,16 +165,26 @@
     def _remove(self, target_id: _types.TargetId) -> None:
         del self._records[target_id]
         del self._last_merged_ms[target_id]
-        self._change_indexes.pop(target_id, None)
+        self._forget_change(target_id)
+
+    def _forget_change(self, target_id: _types.TargetId) -> None:
+        change_index = self._change_indexes.pop(target_id, None)
+        if change_index is not None:
+            del self._changes[change_index]
 
     def changes_since(self, since_index: int) -> list[Change]:
-        """Returns the changes after a change index, oldest first."""
-        changed = [
-            Change(change_index, self._records[target_id])
-            for target_id, change_index in self._change_indexes.items()
-            if change_index > since_index
-        ]
-        return sorted(changed, key=lambda change: change.change_index)
+        """Returns the changes after a change index, oldest first.
+
+        The work depends on the number of these changes only.
+        """
+        changed: list[Change] = []
+        for change_index in reversed(self._changes):
+            if change_index <= since_index:
+                break
+            target_id = self._changes[change_index]
+            changed.append(Change(change_index, self._records[target_id]))
+        changed.reverse()
+        return changed
 
     def records(self) -> list[TargetRecord]:
         """Returns all records, tombstones included."""
--- a/bluebelltide/membership/_replica_poller.py
+++ b/bluebelltide/membership/_replica_poller.py
@@ -15,6 +15,9 @@
 REPLICA_RETENTION_MS = 20_000
 """How long a replica that is not a seed is polled after it was last listed in
 an update or sent one."""
+SOURCE_TIMEOUT_MS = 200
+"""How long the replica from which a process takes many changes, an update at a
+time, may be silent before another replica takes over."""
 
 
 class _Cursor(NamedTuple):
@@ -58,6 +61,10 @@
         self._contacts: dict[str, _Contact] = {}
         self._cursors: dict[str, _Cursor] = {}
         self._poll_count = 0
+        # All replicas hold the same changes, so a process that lacks many
+        # takes them from one replica.
+        self._source_host = ""
+        self._source_until_ms = 0
 
     def set_seed_hosts(self, hosts: Iterable[str], now_ms: int) -> None:
         """Sets the replicas' machines that the settings list.
@@ -92,12 +99,15 @@
         self._poll_count += 1
         return hosts[self._poll_count % len(hosts)]
 
-    def make_poll(self, host: str, renewals: bytes = b"") -> _datagrams.Poll:
+    def make_poll(
+        self, host: str, renewals: bytes = b"", peers_version: int = 0
+    ) -> _datagrams.Poll:
         """Returns the poll to send to a replica's machine.
 
         Args:
             host: The address of the machine.
             renewals: Lease renewals to send with the poll, packed.
+            peers_version: The version of the peer list that is in use.
 
         Returns:
             The poll.
@@ -110,6 +120,7 @@
             cursor.run_id,
             cursor.known_index,
             renewals,
+            peers_version,
         )
 
     def receive(self, update: _datagrams.Update, now_ms: int) -> bool:
@@ -131,7 +142,21 @@
             return False
         contact = self._contacts[host]
         self._contacts[host] = contact._replace(last_received_ms=now_ms)
-        return self._advance_cursor(host, update)
+        has_more = self._advance_cursor(host, update)
+        return self._may_poll_at_once(host, has_more, now_ms)
+
+    def _may_poll_at_once(self, host: str, has_more: bool, now_ms: int) -> bool:
+        """Returns whether to take further changes from a replica now."""
+        is_source = host == self._source_host
+        if not has_more:
+            if is_source:
+                self._source_until_ms = now_ms
+            return False
+        if not is_source and now_ms < self._source_until_ms:
+            return False
+        self._source_host = host
+        self._source_until_ms = now_ms + SOURCE_TIMEOUT_MS
+        return True
 
     def _note_listed(self, host: str, now_ms: int) -> None:
         if host == self._own_host:
--- /dev/null
+++ b/bluebelltide/membership/tests/test_peer_ring.py
@@ -0,0 +1,64 @@
+"""Tests of the choice of instances that report to each other."""
+
+import collections
+
+import pytest
+
+from bluebelltide.membership import _peer_ring
+
+
+def make_hosts(instances: int, data_centres: int) -> dict[str, str]:
+    return {
+        f"10.{number % data_centres}.0.{number}": f"dc-{number % data_centres}"
+        for number in range(instances)
+    }
+
+
+@pytest.mark.parametrize("instances", [30, 100, 300, 1000])
+def test_no_instance_gets_more_reports_when_instances_are_added(
+    instances: int,
+) -> None:
+    hosts = make_hosts(instances, 6)
+    ring = _peer_ring.PeerRing(hosts)
+    received: collections.Counter[str] = collections.Counter()
+    for host, data_centre in hosts.items():
+        peers = ring.peers_of(host, data_centre)
+        assert len(peers.local_hosts) <= _peer_ring.MAXIMUM_LOCAL_PEERS
+        assert len(peers.remote_hosts) <= _peer_ring.MAXIMUM_REMOTE_PEERS
+        assert host not in peers.local_hosts
+        received.update(peers.local_hosts + peers.remote_hosts)
+    most = _peer_ring.MAXIMUM_LOCAL_PEERS + 2 * _peer_ring.MAXIMUM_REMOTE_PEERS
+    assert max(received.values()) <= most
+    assert len(received) == instances
+
+
+def test_in_a_small_deployment_every_instance_reports_to_every_other() -> None:
+    hosts = make_hosts(9, 4)
+    ring = _peer_ring.PeerRing(hosts)
+    for host, data_centre in hosts.items():
+        peers = ring.peers_of(host, data_centre)
+        assert {host, *peers.local_hosts, *peers.remote_hosts} == set(hosts)
+        assert all(hosts[one] == data_centre for one in peers.local_hosts)
+        assert all(hosts[one] != data_centre for one in peers.remote_hosts)
+
+
+def test_a_joining_instance_changes_the_peers_of_few_others() -> None:
+    hosts = make_hosts(300, 6)
+    before = _peer_ring.PeerRing(hosts)
+    after = _peer_ring.PeerRing({**hosts, "10.9.9.9": "dc-0"})
+    changed = [
+        host
+        for host, data_centre in hosts.items()
+        if before.peers_of(host, data_centre)
+        != after.peers_of(host, data_centre)
+    ]
+    bound = _peer_ring.MAXIMUM_LOCAL_PEERS + 2 * _peer_ring.MAXIMUM_REMOTE_PEERS
+    assert len(changed) <= bound
+
+
+def test_an_instance_that_is_not_in_the_ring_gets_peers() -> None:
+    peers = _peer_ring.PeerRing({"10.0.0.1": "a", "10.0.0.2": "b"}).peers_of(
+        "10.0.0.3", "a"
+    )
+    assert peers == _peer_ring.Peers(("10.0.0.1",), ("10.0.0.2",))
+    assert _peer_ring.PeerRing({}).peers_of("h", "a") == _peer_ring.Peers()
--- a/bluebelltide/membership/tests/test_replica_poller.py
+++ b/bluebelltide/membership/tests/test_replica_poller.py
@@ -19,8 +19,6 @@
         deployment_version=1,
         voters_version=1,
         replicas=(_datagrams.Replica("10.0.0.2~0", "south"),),
-        local_entry_hosts=(),
-        remote_entry_hosts=(),
         records=(),
     )
 
@@ -67,3 +65,22 @@
 
 def test_an_incomplete_update_causes_another_poll() -> None:
     assert make_poller().receive(make_update(0, 3, has_more=True), 0)
+
+
+def test_many_changes_are_taken_from_one_replica_until_it_is_silent() -> None:
+    poller = make_poller()
+    poller.receive(make_update(0, 0), now_ms=0)
+    other = make_update(0, 16, has_more=True)._replace(
+        replica=_datagrams.Replica("10.0.0.2~0", "south")
+    )
+    assert poller.receive(make_update(0, 16, has_more=True), now_ms=1)
+    assert not poller.receive(other, now_ms=2)
+    assert poller.receive(make_update(16, 32, has_more=True), now_ms=3)
+    silent_ms = 3 + _replica_poller.SOURCE_TIMEOUT_MS
+    assert poller.receive(other, now_ms=silent_ms)
+    # The first replica answers again, but the second one goes on.
+    assert not poller.receive(make_update(32, 48, has_more=True), silent_ms)
+    # Once the second one has no more, any replica may continue.
+    done = other._replace(first_index=16, last_index=20, has_more=False)
+    assert not poller.receive(done, silent_ms)
+    assert poller.receive(make_update(32, 48, has_more=True), silent_ms)
--- a/bluebelltide/messaging/_datagrams.py
+++ b/bluebelltide/messaging/_datagrams.py
@@ -1,4 +1,4 @@
-"""Datagrams that spread state: polls, updates and load reports.
+"""Datagrams that spread state: polls, updates, peer lists and load reports.
 
 They are used in place of long-lived connections, which may stall without an
 error. Each datagram is complete in itself, the next poll recovers what a lost
@@ -48,8 +48,10 @@
     known_index: int
     """The index of the last change that the sender knows."""
     renewals: bytes = b""
-    """The newest sequences that the sender received from live targets, packed
-    by `pack_renewals`."""
+    """Sequences that the sender received from live targets of late, packed by
+    `pack_renewals`."""
+    peers_version: int = 0
+    """The `PeerList.version` that the sender uses; 0 if none."""
 
 
 class Update(NamedTuple):
@@ -78,10 +80,6 @@
     """The version of the committed voter set; 0 if none is known."""
     replicas: tuple[Replica, ...]
     """The control replicas that this one received a message from recently."""
-    local_entry_hosts: tuple[str, ...]
-    """Other entry instances in the data centre of the receiver."""
-    remote_entry_hosts: tuple[str, ...]
-    """Other entry instances in other data centres."""
     records: tuple[_directory.TargetRecord, ...]
     """The targets that changed since `first_index`."""
     unconfirmed_version: int = 0
@@ -90,6 +88,25 @@
     may be newer or older than the newest committed one."""
 
 
+class PeerList(NamedTuple):
+    """Names the instances to which an entry instance reports its load.
+
+    A control replica sends it with the answer to a poll whose sender uses
+    another list.
+    """
+
+    version: int
+    """A hash of the hosts, so that replicas with the same view of the
+    instances send the same version."""
+    local_hosts: tuple[str, ...]
+    """Entry instances in the data centre of the receiver."""
+    remote_hosts: tuple[str, ...]
+    """Entry instances in other data centres."""
+    instance_count: int
+    """The number of entry instances in the deployment when the hosts last
+    changed."""
+
+
 class LoadReport(NamedTuple):
     """The state of the targets as one entry instance observes it.
 
@@ -104,9 +121,9 @@
     """The tokens of the ejected targets."""
 
 
-Message = Poll | Update | LoadReport
+Message = Poll | Update | LoadReport | PeerList
 
-_TYPES: tuple[type[Message], ...] = (Poll, Update, LoadReport)
+_TYPES: tuple[type[Message], ...] = (Poll, Update, LoadReport, PeerList)
 """The message types; a datagram names its type by the index here."""
 
 
--- a/bluebelltide/placement/__init__.py
+++ b/bluebelltide/placement/__init__.py
@@ -9,6 +9,7 @@
 from bluebelltide.placement._held_packets import HeldPacketQueue
 from bluebelltide.placement._observations import FlowKey
 from bluebelltide.placement._observations import Observations
+from bluebelltide.placement._peer_loads import PeerLoads
 from bluebelltide.placement._placer import TRANSMISSION_TIMES_MS
 from bluebelltide.placement._placer import LatencyBudget
 from bluebelltide.placement._placer import Placement
@@ -23,6 +24,7 @@
     "HeldPacketQueue",
     "LatencyBudget",
     "Observations",
+    "PeerLoads",
     "Placement",
     "PlacementOutcome",
     "Placer",
