--- a/bluebelltide/_batch_socket.py
+++ b/bluebelltide/_batch_socket.py
@@ -4,8 +4,12 @@
 from collections.abc import Callable
 import socket
 
+import logbook
+
 from bluebelltide import _types
 
+_LOG = logbook.Logger("datagrams")
+
 BATCH_DATAGRAMS = 64
 """How many datagrams are read before control returns to the event loop."""
 MAXIMUM_DATAGRAM_BYTES = 65_535
@@ -43,13 +47,18 @@
             except OSError:
                 # The receiver of an earlier datagram refused it (ICMP error).
                 continue
-            handle(data, sender)
+            try:
+                handle(data, sender)
+            except Exception as error:
+                # One datagram must not cost the others of the batch.
+                _LOG.exception("a datagram of {} failed: {!r}", sender, error)
 
     def send(self, data: bytes, address: tuple[str, int]) -> bool:
         """Sends a datagram; returns False if the system rejects it."""
         try:
             self._socket.sendto(data, address)
-        except OSError:
+        except (OSError, OverflowError):
+            # A port out of range raises OverflowError.
             return False
         return True
 
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -20,6 +20,7 @@
 from bluebelltide.catalogue import _register
 from bluebelltide.catalogue import _store
 from bluebelltide.control import _deployment_replica
+from bluebelltide.control import _lease_watch
 from bluebelltide.control import _renewals
 from bluebelltide.control import _update_publisher
 from bluebelltide.control import _update_sender
@@ -83,6 +84,7 @@
         self._started_ms = _clock.now_ms()
         self._run_id = random.getrandbits(31) | 1
         self._renewals = _renewals.Renewals(self.directory)
+        self._lease_watch = _lease_watch.LeaseWatch()
         self._keys_being_fetched: set[str] = set()
         self._recovered_target_count = 0
         self._previous_entry_hosts: tuple[str, ...] = ()
@@ -378,12 +380,18 @@
         self.directory.purge_tombstones(_clock.now_ms())
         self._renewals.forget_old(_clock.now_ms())
         cluster_view = self._cluster_view()
-        if cluster_view is None or not _voter_replacement.is_quorum_alive(
-            cluster_view
-        ):
+        has_quorum = (
+            cluster_view is not None
+            and _voter_replacement.is_quorum_alive(cluster_view)
+        )
+        now_ms = _clock.now_ms()
+        listening_since_ms = self._lease_watch.check(has_quorum, now_ms)
+        if listening_since_ms is None:
             return
         lease_ms = self._settings.target_lease_ms
-        expired = self.directory.expire_leases(lease_ms, cluster_view.now_ms)
+        expired = self.directory.expire_leases(
+            lease_ms, now_ms, listening_since_ms
+        )
         for target_id in expired:
             self._metrics.count("target", "expired")
             events.write("target_expired", target=target_id, silent_ms=lease_ms)
--- a/bluebelltide/membership/_directory.py
+++ b/bluebelltide/membership/_directory.py
@@ -144,20 +144,23 @@
                 self._remove(target_id)
 
     def expire_leases(
-        self, lease_ms: int, now_ms: int
+        self, lease_ms: int, now_ms: int, listening_since_ms: int
     ) -> list[_types.TargetId]:
         """Marks targets as left if their lease has expired.
 
         Args:
             lease_ms: How long a target may go without an announcement.
             now_ms: The current time.
+            listening_since_ms: Since when this process has been able to
+                receive announcements; earlier silence does not count.
 
         Returns:
             The targets whose lease expired since the last call.
         """
         expired = []
         for target_id, last_merged_ms in list(self._last_merged_ms.items()):
-            has_expired = now_ms - last_merged_ms > lease_ms
+            silent_since_ms = max(last_merged_ms, listening_since_ms)
+            has_expired = now_ms - silent_since_ms > lease_ms
             if has_expired and self.mark_as_left(target_id, now_ms):
                 expired.append(target_id)
         return expired
--- a/bluebelltide/membership/tests/test_directory.py
+++ b/bluebelltide/membership/tests/test_directory.py
@@ -90,8 +90,8 @@
     directory = _directory.TargetDirectory()
     directory.merge(_directory.TargetRecord(make_target(sequence=1)), 0)
     directory.renew("i-1", sequence=2, now_ms=5000)
-    assert directory.expire_leases(LEASE_MS, now_ms=LEASE_MS + 1) == []
-    assert directory.expire_leases(LEASE_MS, 5000 + LEASE_MS + 1) == ["i-1"]
+    assert directory.expire_leases(LEASE_MS, LEASE_MS + 1, 0) == []
+    assert directory.expire_leases(LEASE_MS, 5000 + LEASE_MS + 1, 0) == ["i-1"]
     # A later renewal makes an expired target live again.
     directory.renew("i-1", sequence=3, now_ms=20_000)
     assert len(directory.live_targets()) == 1
--- a/bluebelltide/messaging/_calls.py
+++ b/bluebelltide/messaging/_calls.py
@@ -11,12 +11,15 @@
 
 import anyio
 import anyio.abc
+import logbook
 
 from bluebelltide import _codec
 from bluebelltide import _exceptions
 from bluebelltide import _types
 from bluebelltide.catalogue import _register
 
+_LOG = logbook.Logger("calls")
+
 MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024
 """Upper bound of the size of a request or an answer."""
 SERVE_TIMEOUT_S = 10.0
@@ -202,3 +205,6 @@
         except _FAILURES:
             # The sender treats the closed connection as no answer.
             return
+        except Exception as error:
+            # An unexpected error ends this call, not the process.
+            _LOG.exception("a call failed: {!r}", error)
