--- a/bluebelltide/bench/__main__.py
+++ b/bluebelltide/bench/__main__.py
@@ -21,6 +21,7 @@
 from bluebelltide.bench import _flows
 from bluebelltide.bench import _load
 from bluebelltide.bench import _overload
+from bluebelltide.bench import _scale
 from bluebelltide.bench import _slopes
 from bluebelltide.bench import _tokens
 
@@ -174,6 +175,24 @@
     return _program.EXIT_OK
 
 
+@app.command
+def scale(
+    *instances: int,
+    seed: int = 1,
+    as_json: AsJson = False,
+) -> int:
+    """Count the control messages of direct deployments of several sizes.
+
+    Args:
+        instances: Numbers of entry instances; 30, 100, 300 and 1000 if empty.
+        seed: Seed of every random choice.
+        as_json: Print JSON, one line for each size.
+    """
+    for count in instances or (30, 100, 300, 1000):
+        _print_report(_scale.run(count, seed)._asdict(), as_json)
+    return _program.EXIT_OK
+
+
 @app.command
 def load(
     front: str,
--- a/bluebelltide/entry/_load_reporter.py
+++ b/bluebelltide/entry/_load_reporter.py
@@ -5,11 +5,11 @@
 """
 
 from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 
 from bluebelltide import _clock
-from bluebelltide.fronts import _token_front
 from bluebelltide.messaging import _datagrams
 from bluebelltide.placement import PeerLoads
 from bluebelltide.placement import Placer
@@ -31,6 +31,18 @@
 HELD_PACKET_CHECK_INTERVAL_MS = 10
 """Time between two checks whether a slot is free for a held packet."""
 
+
+class HeldPackets(Protocol):
+    """The opening packets that an instance holds until a slot is free."""
+
+    @property
+    def held_packet_count(self) -> int:
+        """How many opening packets are held."""
+
+    def release_held_packets(self, now_ms: int) -> None:
+        """Releases the packets for which there is a slot."""
+
+
 SendFunction = Callable[[str, bytes], None]
 """Sends a datagram to the instance on a machine."""
 
@@ -66,7 +78,7 @@
         self,
         host: str,
         placer: Placer,
-        front: _token_front.TokenFront,
+        front: HeldPackets,
         send: SendFunction,
     ) -> None:
         """Creates the reporter.
@@ -151,20 +163,21 @@
     async def run(self) -> None:
         """Reports the load and releases held packets until cancelled."""
         while True:
-            local_interval_ms, remote_interval_ms = self._intervals_ms()
-            wait_ms = local_interval_ms
-            if self._front.held_packet_count:
-                wait_ms = min(wait_ms, HELD_PACKET_CHECK_INTERVAL_MS)
-            await anyio.sleep(wait_ms / 1000)
+            await anyio.sleep(self.next_wait_ms() / 1000)
             now_ms = _clock.now_ms()
             self._front.release_held_packets(now_ms)
-            self._send_due_reports(
-                local_interval_ms, remote_interval_ms, now_ms
-            )
+            self.send_due_reports(now_ms)
 
-    def _send_due_reports(
-        self, local_interval_ms: int, remote_interval_ms: int, now_ms: int
-    ) -> None:
+    def next_wait_ms(self) -> int:
+        """Returns the time until the next check for due reports."""
+        local_interval_ms, _ = self._intervals_ms()
+        if self._front.held_packet_count:
+            return min(local_interval_ms, HELD_PACKET_CHECK_INTERVAL_MS)
+        return local_interval_ms
+
+    def send_due_reports(self, now_ms: int) -> None:
+        """Sends the load to the peers whose next report is due."""
+        local_interval_ms, remote_interval_ms = self._intervals_ms()
         report = self._make_report(now_ms)
         is_remote_due = now_ms - self._remote_sent_ms >= remote_interval_ms
         is_local_due = now_ms - self._local_sent_ms >= local_interval_ms
