--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -21,6 +21,7 @@
 from bluebelltide.catalogue import _store
 from bluebelltide.control import _deployment_replica
 from bluebelltide.control import _lease_watch
+from bluebelltide.control import _recovered_targets
 from bluebelltide.control import _renewals
 from bluebelltide.control import _update_publisher
 from bluebelltide.control import _update_sender
@@ -87,6 +88,7 @@
         self._lease_watch = _lease_watch.LeaseWatch()
         self._keys_being_fetched: set[str] = set()
         self._recovered_target_count = 0
+        self._recovered_targets = _recovered_targets.RecoveredTargets(())
         self._previous_entry_hosts: tuple[str, ...] = ()
         self._last_saved: tuple[int, tuple[str, ...]] = (0, ())
         self._own_replica = _datagrams.Replica("", settings.data_centre)
@@ -187,6 +189,9 @@
         for record in saved.records:
             self.directory.merge(record, _clock.now_ms())
         self._recovered_target_count = len(saved.records)
+        self._recovered_targets = _recovered_targets.RecoveredTargets(
+            saved.records
+        )
         self._previous_entry_hosts = saved.entry_hosts
         self._last_saved = (self.directory.last_index, saved.entry_hosts)
         events.write(
@@ -388,6 +393,12 @@
         listening_since_ms = self._lease_watch.check(has_quorum, now_ms)
         if listening_since_ms is None:
             return
+        self._drop_silent_targets(now_ms, listening_since_ms)
+
+    def _drop_silent_targets(
+        self, now_ms: int, listening_since_ms: int
+    ) -> None:
+        """Marks targets as left that are silent for too long."""
         lease_ms = self._settings.target_lease_ms
         expired = self.directory.expire_leases(
             lease_ms, now_ms, listening_since_ms
@@ -395,7 +406,17 @@
         for target_id in expired:
             self._metrics.count("target", "expired")
             events.write("target_expired", target=target_id, silent_ms=lease_ms)
-        if expired:
+        listened_ms = now_ms - listening_since_ms
+        unconfirmed = self._recovered_targets.take_unconfirmed(
+            self.directory, lease_ms, listened_ms
+        )
+        for target_id in unconfirmed:
+            self.directory.mark_as_left(target_id, now_ms)
+            self._metrics.count("target", "not_confirmed")
+            events.write(
+                "target_not_confirmed", target=target_id, silent_ms=listened_ms
+            )
+        if expired or unconfirmed:
             self._push_update()
 
     async def _confirm_and_plan_forever(self) -> None:
