--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -437,13 +437,15 @@
         voters = self.deployment_replica.committed_voters
         if voters is None:
             return None
+        now_ms = _clock.now_ms()
+        listening_since_ms = self._lease_watch.listening_since_ms
         return _voter_replacement.ClusterView(
             self._own_replica,
             voters,
             self._publisher.seen_replicas,
-            self._started_ms,
+            now_ms if listening_since_ms is None else listening_since_ms,
             self._settings.desired_voter_count,
-            _clock.now_ms(),
+            now_ms,
         )
 
     async def _plan_voters(self) -> None:
--- a/bluebelltide/control/_lease_watch.py
+++ b/bluebelltide/control/_lease_watch.py
@@ -1,8 +1,8 @@
-"""Decides since when a control replica may count the silence of targets.
+"""Decides since when a control replica may count the silence of others.
 
-A replica that was paused or cut off has received no announcements meanwhile.
-The targets were not silent, so their leases run anew from the moment when the
-replica hears from a quorum again.
+A replica that was paused or cut off has received nothing meanwhile. Targets and
+other replicas were not silent, so leases and the wait before a voter is
+replaced run anew from the moment when the replica hears from a quorum again.
 """
 
 MAXIMUM_GAP_MS = 1500
@@ -10,11 +10,16 @@
 
 
 class LeaseWatch:
-    """Tracks the time during which a replica has heard from a quorum."""
+    """Tracks the time during which a replica has heard from a quorum.
+
+    Attributes:
+        listening_since_ms: Since when the replica has heard from a quorum
+            without a gap, or None if it does not hear from one.
+    """
 
     def __init__(self) -> None:
         """Creates the watch of a replica that has heard from nobody."""
-        self._listening_since_ms: int | None = None
+        self.listening_since_ms: int | None = None
         self._last_check_ms = 0
 
     def check(self, has_quorum: bool, now_ms: int) -> int | None:
@@ -25,13 +30,12 @@
             now_ms: The current time.
 
         Returns:
-            Since when the replica has heard from a quorum without a gap, or
-            None if it does not hear from one.
+            The new value of `listening_since_ms`.
         """
         was_paused = now_ms - self._last_check_ms > MAXIMUM_GAP_MS
         self._last_check_ms = now_ms
         if not has_quorum:
-            self._listening_since_ms = None
-        elif self._listening_since_ms is None or was_paused:
-            self._listening_since_ms = now_ms
-        return self._listening_since_ms
+            self.listening_since_ms = None
+        elif self.listening_since_ms is None or was_paused:
+            self.listening_since_ms = now_ms
+        return self.listening_since_ms
--- a/bluebelltide/control/_voter_replacement.py
+++ b/bluebelltide/control/_voter_replacement.py
@@ -34,8 +34,10 @@
     """The committed voter set."""
     seen_replicas: Mapping[str, SeenReplica]
     """The other replicas, by identity."""
-    started_ms: int
-    """When this process started; silence is counted from then on."""
+    listening_since_ms: int
+    """Since when this replica hears from a quorum without a gap. Silence is
+    counted from then on, as a replica that was paused or cut off heard nobody.
+    """
     desired_voter_count: int
     """How many voters there should be."""
     now_ms: int
@@ -105,7 +107,7 @@
 
 def _silent_ms(cluster_view: ClusterView, identity: str) -> int:
     seen = cluster_view.seen_replicas.get(identity)
-    since_ms = cluster_view.started_ms
+    since_ms = cluster_view.listening_since_ms
     if seen is not None:
         since_ms = max(since_ms, seen.last_seen_ms)
     return cluster_view.now_ms - since_ms
--- a/bluebelltide/control/tests/test_voter_replacement.py
+++ b/bluebelltide/control/tests/test_voter_replacement.py
@@ -3,6 +3,8 @@
 import pytest
 
 from bluebelltide.catalogue import _register
+from bluebelltide.control import _direct_service
+from bluebelltide.control import _lease_watch
 from bluebelltide.control import _voter_replacement
 from bluebelltide.messaging import _datagrams
 
@@ -20,6 +22,7 @@
     own: str = "a~0",
     next_voters: tuple[str, ...] = (),
     desired_voter_count: int = 3,
+    listening_since_ms: int = 0,
 ) -> _voter_replacement.ClusterView:
     seen_replicas = {
         name: _voter_replacement.SeenReplica(
@@ -31,7 +34,7 @@
         make_replica(own),
         _register.Voters(1, voters, next_voters),
         seen_replicas,
-        0,
+        listening_since_ms,
         desired_voter_count,
         NOW_MS,
     )
@@ -127,3 +130,27 @@
 ) -> None:
     cluster_view = make_cluster_view(VOTERS, seen_ago_ms, own)
     assert _voter_replacement.is_quorum_alive(cluster_view) == expected
+
+
+@pytest.mark.parametrize("was_paused", [False, True])
+def test_after_a_pause_or_a_cut_no_voter_counts_as_silent(
+    was_paused: bool,
+) -> None:
+    watch = _lease_watch.LeaseWatch()
+    interval_ms = _direct_service.POLL_INTERVAL_MS
+    gap_from_ms = NOW_MS - 2 * SILENT_MS
+    for now_ms in range(gap_from_ms - 2000, NOW_MS, interval_ms):
+        if now_ms < gap_from_ms:
+            watch.check(has_quorum=True, now_ms=now_ms)
+        elif not was_paused:
+            watch.check(has_quorum=False, now_ms=now_ms)
+    # The first datagrams of one voter and a standby replica have arrived.
+    assert watch.check(has_quorum=True, now_ms=NOW_MS) == NOW_MS
+    cluster_view = make_cluster_view(
+        VOTERS,
+        {"b~0": 0, "c~0": 2 * SILENT_MS, "d~0": 0},
+        listening_since_ms=NOW_MS,
+    )
+    assert _voter_replacement.plan_next_voters(cluster_view) is None
+    later = cluster_view._replace(listening_since_ms=NOW_MS - SILENT_MS)
+    assert _voter_replacement.plan_next_voters(later) is not None
