--- a/bluebelltide/_batch_socket.py
+++ b/bluebelltide/_batch_socket.py
@@ -36,14 +36,20 @@
         loop = asyncio.get_running_loop()
         loop.add_reader(self._socket.fileno(), self._read_batch)
 
-    def _read_batch(self) -> None:
+    def read_pending(self) -> None:
+        """Handles all datagrams that have arrived by now."""
+        while self._read_batch():
+            pass
+
+    def _read_batch(self) -> bool:
+        """Handles a batch; returns whether more may have arrived."""
         receive = self._socket.recvfrom
         handle = self._handle
         for _ in range(BATCH_DATAGRAMS):
             try:
                 data, sender = receive(MAXIMUM_DATAGRAM_BYTES)
             except BlockingIOError:
-                return
+                return False
             except OSError:
                 # The receiver of an earlier datagram refused it (ICMP error).
                 continue
@@ -52,6 +58,7 @@
             except Exception as error:
                 # One datagram must not cost the others of the batch.
                 _LOG.exception("a datagram of {} failed: {!r}", sender, error)
+        return True
 
     def send(self, data: bytes, address: tuple[str, int]) -> bool:
         """Sends a datagram; returns False if the system rejects it."""
--- a/bluebelltide/_codes.py
+++ b/bluebelltide/_codes.py
@@ -84,6 +84,8 @@
     """No slot became free before the caller's next retransmission was due."""
     UNKNOWN_TARGET = "unknown_target"
     """The flow's target is not in this instance's registry."""
+    STALE_VIEW = "stale_view"
+    """The instance was paused and has not heard from a replica since."""
     SEND_FAILED = "send_failed"
     """The operating system could not send the packet."""
 
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -21,6 +21,7 @@
 from bluebelltide._events import events
 from bluebelltide.catalogue import _deployment
 from bluebelltide.entry import _load_reporter
+from bluebelltide.entry import _pause_watch
 from bluebelltide.fronts import _token_front
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _replica_poller
@@ -108,6 +109,7 @@
         self._reporter = _load_reporter.LoadReporter(
             settings.host, self._placer, self._front, self._send_datagram
         )
+        self._pause_watch = _pause_watch.PauseWatch(_clock.boot_ms())
         self._is_stopping = False
         self._is_fetching = False
         self._is_confirmed = False
@@ -187,8 +189,30 @@
 
     def _on_packet(self, data: bytes, sender: tuple[str, int]) -> None:
         del sender
+        self._check_for_pause()
         self._front.handle_packet(data, _clock.now_ms())
 
+    def _check_for_pause(self) -> None:
+        now_ms = _clock.boot_ms()
+        paused_ms = self._pause_watch.check(now_ms)
+        if paused_ms:
+            self._recover_from_pause(paused_ms)
+        elif not self._front.is_view_current:
+            self._front.is_view_current = self._pause_watch.must_resume(now_ms)
+
+    def _recover_from_pause(self, paused_ms: int) -> None:
+        """Opens no flows until a replica has answered a new poll."""
+        events.write("paused", paused_ms=paused_ms)
+        self._metrics.count("pause", "noticed")
+        self._front.suspend_openings()
+        # What arrived during the pause is out of date, updates included.
+        for batch_socket in (self._packet_socket, self._update_socket):
+            if batch_socket is not None:
+                batch_socket.read_pending()
+        self._front.suspend_openings()
+        for host in self._replica_poller.hosts(_clock.now_ms()):
+            self._send_poll(host)
+
     def _log_opening_packet(self, report: _token_front.OpeningReport) -> None:
         placement = report.placement
         events.write(
@@ -225,6 +249,7 @@
         )
 
     def _on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+        self._check_for_pause()
         try:
             message = _datagrams.decode_datagram(data, sender[0])
         except _exceptions.BluebelltideError:
@@ -254,6 +279,8 @@
             self._apply_targets()
         if self._should_fetch_deployment(update):
             self._start_fetch(update.replica)
+        elif not update.has_more:
+            self._front.is_view_current = True
 
     def _should_fetch_deployment(self, update: _datagrams.Update) -> bool:
         """Returns whether to fetch the deployment of an update's sender."""
@@ -334,6 +361,7 @@
             events.write("deployment_unreadable", error=str(error))
             return
         self._front.routes = _deployment.RouteTable(deployment)
+        self._front.is_view_current = True
         self._is_confirmed = is_committed
         events.write(
             "deployment_in_force",
@@ -368,6 +396,7 @@
     async def _expire_flows_forever(self) -> None:
         while True:
             await anyio.sleep(EXPIRY_INTERVAL_MS / 1000)
+            self._check_for_pause()
             now_ms = _clock.now_ms()
             self._placer.observations.check_overdue_answers(now_ms)
             self._placer.observations.expire_idle_flows(now_ms)
--- a/bluebelltide/fronts/_token_front.py
+++ b/bluebelltide/fronts/_token_front.py
@@ -152,6 +152,8 @@
             known.
         has_all_targets: Whether every live target is known. Before that, an
             opening packet without a target is dropped and not refused.
+        is_view_current: Whether routes and targets may be relied on. While
+            they may not, opening packets are dropped; callers send them again.
     """
 
     def __init__(
@@ -179,6 +181,7 @@
         """
         self.routes: _deployment.RouteTable | None = None
         self.has_all_targets = False
+        self.is_view_current = True
         self._codec = codec
         self._placer = placer
         self._send = send
@@ -283,7 +286,18 @@
         if not self._send(datagram, endpoint.address):
             self._count("dropped", _codes.DropCode.SEND_FAILED)
 
+    def suspend_openings(self) -> None:
+        """Drops held opening packets, and new ones until the view is current.
+
+        Open flows go on: a token stays valid for as long as its target runs.
+        """
+        self.is_view_current = False
+        self._held_queues.clear()
+
     def _open_flow(self, packet: TokenPacket, data: bytes, now_ms: int) -> None:
+        if not self.is_view_current:
+            self._count("dropped", _codes.DropCode.STALE_VIEW)
+            return
         if self.routes is None:
             self._count("dropped", _codes.RefusalCode.NO_CATALOGUE)
             return
