--- a/bluebelltide/entry/_load_reporter.py
+++ b/bluebelltide/entry/_load_reporter.py
@@ -28,6 +28,12 @@
 BUSY_REMOTE_REPORTS_PER_S = 300
 """Maximum rate of load reports to peers in other data centres while packets
 are held until a slot is free."""
+SPARSE_LOCAL_REPORT_INTERVAL_MS = 100
+"""Minimum time between reports to local peers in a large deployment, where one
+instance sees few flows."""
+SPARSE_REMOTE_REPORT_INTERVAL_MS = 400
+"""Minimum time between reports to remote peers in a large deployment; a report
+is used for longer."""
 HELD_PACKET_CHECK_INTERVAL_MS = 10
 """Time between two checks whether a slot is free for a held packet."""
 
@@ -126,20 +132,29 @@
 
         In a large deployment only some of them report to this one.
         """
-        known = 0 if self.peers is None else self.peers.instance_count - 1
         reporting = self._loads.peer_count
-        reported = len(self._local_hosts) + len(self._remote_hosts)
-        is_every_instance_a_peer = known <= reported
-        self._placer.peer_count = (
-            reporting if is_every_instance_a_peer else max(known, reporting)
-        )
+        if self.peers is not None and self._is_sparse:
+            reporting = max(reporting, self.peers.instance_count - 1)
+        self._placer.peer_count = reporting
+
+    @property
+    def _is_sparse(self) -> bool:
+        """Whether this instance reports to some of the instances only."""
+        if self.peers is None:
+            return False
+        peer_count = len(self._local_hosts) + len(self._remote_hosts)
+        return peer_count < self.peers.instance_count - 1
 
     def _intervals_ms(self) -> tuple[int, int]:
         """Returns the times between reports to local and remote peers."""
+        local_interval_ms = LOCAL_REPORT_INTERVAL_MS
         remote_interval_ms, remote_reports_per_s = (
             REMOTE_REPORT_INTERVAL_MS,
             REMOTE_REPORTS_PER_S,
         )
+        if self._is_sparse:
+            local_interval_ms = SPARSE_LOCAL_REPORT_INTERVAL_MS
+            remote_interval_ms = SPARSE_REMOTE_REPORT_INTERVAL_MS
         if self._front.held_packet_count:
             # Slots are scarce, so instances must learn sooner of the flows
             # that others placed on the same targets.
@@ -150,7 +165,7 @@
         return (
             report_interval_ms(
                 len(self._local_hosts),
-                LOCAL_REPORT_INTERVAL_MS,
+                local_interval_ms,
                 LOCAL_REPORTS_PER_S,
             ),
             report_interval_ms(
--- a/bluebelltide/membership/_peer_ring.py
+++ b/bluebelltide/membership/_peer_ring.py
@@ -1,9 +1,13 @@
 """Chooses which entry instances report their load to each other.
 
-The instances form a ring, ordered by a hash of their addresses. An instance
-reports to the next ones in the ring, so each sends and receives the same
-bounded number of reports, however many instances there are. When an instance
-joins or leaves, only its neighbours get other peers.
+In a small deployment each instance reports to all others. In a larger one the
+instances form a ring, ordered by a hash of their addresses, and an instance
+reports to a few others at growing distances in the ring. So each sends and
+receives the same small number of reports, however many instances there are,
+and news still reaches a data centre in a few steps.
+
+Reports of more peers do not place flows better: by the time that many
+instances know of a target with a free slot, all of them have used it.
 """
 
 import bisect
@@ -11,10 +15,17 @@
 import hashlib
 from typing import NamedTuple
 
-MAXIMUM_LOCAL_PEERS = 16
-"""How many instances of its data centre an instance reports to."""
-MAXIMUM_REMOTE_PEERS = 16
-"""How many instances of other data centres an instance reports to."""
+FULL_MESH_INSTANCES = 12
+"""Up to this number of instances each one reports to all others."""
+LOCAL_PEERS = 4
+"""How many instances of its data centre an instance reports to otherwise."""
+LOCAL_DISTANCES = (1, 3, 9, 27, 2, 5)
+"""How far from it in the ring these are: the first ones that fit into the ring.
+The distances are fixed, so that an instance that joins changes the peers of a
+bounded number of others."""
+REMOTE_PEERS = 2
+"""How many instances of other data centres an instance reports to
+otherwise."""
 
 
 class Peers(NamedTuple):
@@ -61,12 +72,14 @@
             data_centre: The data centre of the instance.
         """
         local_ring = self._local_rings.get(data_centre, [])
-        remote_count = len(self._ring) - len(local_ring)
+        if self.instance_count <= FULL_MESH_INSTANCES:
+            return Peers(
+                _successors(local_ring, host),
+                self._remote_successors(host, data_centre, len(self._ring)),
+            )
         return Peers(
-            _successors(local_ring, host, MAXIMUM_LOCAL_PEERS),
-            self._remote_successors(
-                host, data_centre, min(remote_count, MAXIMUM_REMOTE_PEERS)
-            ),
+            _at_distances(_successors(local_ring, host)),
+            self._remote_successors(host, data_centre, REMOTE_PEERS),
         )
 
     def _remote_successors(
@@ -83,11 +96,20 @@
         return tuple(found)
 
 
-def _successors(
-    ring: list[tuple[bytes, str]], host: str, count: int
-) -> tuple[str, ...]:
-    """Returns up to `count` other instances that follow one in a ring."""
+def _successors(ring: list[tuple[bytes, str]], host: str) -> tuple[str, ...]:
+    """Returns the other instances, in the order in which they follow one."""
     start = bisect.bisect_left(ring, (_ring_position(host), host))
     following = ring[start:] + ring[:start]
-    others = [other for _, other in following if other != host]
-    return tuple(others[:count])
+    return tuple(other for _, other in following if other != host)
+
+
+def _at_distances(others: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the instances at LOCAL_DISTANCES, or all others if they are few.
+
+    The distances are the same for all instances of a ring, so an instance is
+    chosen by as many others as it chooses.
+    """
+    if len(others) <= LOCAL_PEERS:
+        return others
+    fitting = [one for one in LOCAL_DISTANCES if one <= len(others)]
+    return tuple(others[distance - 1] for distance in fitting[:LOCAL_PEERS])
--- a/bluebelltide/membership/tests/test_peer_ring.py
+++ b/bluebelltide/membership/tests/test_peer_ring.py
@@ -20,16 +20,33 @@
 ) -> None:
     hosts = make_hosts(instances, 6)
     ring = _peer_ring.PeerRing(hosts)
-    received: collections.Counter[str] = collections.Counter()
+    local: collections.Counter[str] = collections.Counter()
+    remote: collections.Counter[str] = collections.Counter()
     for host, data_centre in hosts.items():
         peers = ring.peers_of(host, data_centre)
-        assert len(peers.local_hosts) <= _peer_ring.MAXIMUM_LOCAL_PEERS
-        assert len(peers.remote_hosts) <= _peer_ring.MAXIMUM_REMOTE_PEERS
         assert host not in peers.local_hosts
-        received.update(peers.local_hosts + peers.remote_hosts)
-    most = _peer_ring.MAXIMUM_LOCAL_PEERS + 2 * _peer_ring.MAXIMUM_REMOTE_PEERS
-    assert max(received.values()) <= most
-    assert len(received) == instances
+        assert len(peers.remote_hosts) == _peer_ring.REMOTE_PEERS
+        local.update(peers.local_hosts)
+        remote.update(peers.remote_hosts)
+    assert set(local.values()) == {_peer_ring.LOCAL_PEERS}
+    assert max(remote.values()) <= 4 * _peer_ring.REMOTE_PEERS
+
+
+@pytest.mark.parametrize(("instances", "most_steps"), [(100, 5), (500, 10)])
+def test_news_reach_a_data_centre_in_a_few_steps(
+    instances: int, most_steps: int
+) -> None:
+    hosts = make_hosts(instances, 6)
+    ring = _peer_ring.PeerRing(hosts)
+    local_hosts = {host for host, name in hosts.items() if name == "dc-0"}
+    reached = {min(local_hosts)}
+    for _ in range(most_steps):
+        reached |= {
+            peer
+            for host in reached
+            for peer in ring.peers_of(host, "dc-0").local_hosts
+        }
+    assert reached == local_hosts
 
 
 def test_in_a_small_deployment_every_instance_reports_to_every_other() -> None:
@@ -42,17 +59,20 @@
         assert all(hosts[one] != data_centre for one in peers.remote_hosts)
 
 
-def test_a_joining_instance_changes_the_peers_of_few_others() -> None:
-    hosts = make_hosts(300, 6)
+@pytest.mark.parametrize("instances", [300, 3000])
+def test_a_joining_instance_changes_the_peers_of_few_others(
+    instances: int,
+) -> None:
+    hosts = make_hosts(instances, 6)
     before = _peer_ring.PeerRing(hosts)
-    after = _peer_ring.PeerRing({**hosts, "10.9.9.9": "dc-0"})
+    after = _peer_ring.PeerRing({**hosts, "10.99.9.9": "dc-0"})
     changed = [
         host
         for host, data_centre in hosts.items()
         if before.peers_of(host, data_centre)
         != after.peers_of(host, data_centre)
     ]
-    bound = _peer_ring.MAXIMUM_LOCAL_PEERS + 2 * _peer_ring.MAXIMUM_REMOTE_PEERS
+    bound = sum(_peer_ring.LOCAL_DISTANCES) + 2 * _peer_ring.REMOTE_PEERS
     assert len(changed) <= bound
 
 
--- a/bluebelltide/placement/tests/load_simulation.py
+++ b/bluebelltide/placement/tests/load_simulation.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 
 from bluebelltide import _types
+from bluebelltide.membership import _peer_ring
+from bluebelltide.placement import PeerLoads
 from bluebelltide.placement import _placer
 from bluebelltide.placement import create_placer
 
@@ -41,6 +43,8 @@
     """How long a target that has joined is slow."""
     cold_factor: float = 1.6
     """How much longer requests run on a target while it is slow."""
+    is_full_mesh: bool = False
+    """Whether instances report to all others in any case."""
 
 
 class LoadResult(NamedTuple):
@@ -80,6 +84,32 @@
     }
 
 
+def _choose_receivers(plan: LoadPlan) -> dict[tuple[int, bool], list[int]]:
+    """Returns the receivers of each instance's reports, by locality."""
+    hosts = {
+        f"10.0.0.{number}": f"dc-{number % plan.data_centres}"
+        for number in range(plan.instances)
+    }
+    numbers = {host: number for number, host in enumerate(hosts)}
+    ring = _peer_ring.PeerRing(hosts)
+    receivers: dict[tuple[int, bool], list[int]] = {}
+    for host, data_centre in hosts.items():
+        peers = ring.peers_of(host, data_centre)
+        if plan.is_full_mesh:
+            others = [other for other in hosts if other != host]
+            peers = _peer_ring.Peers(
+                tuple(one for one in others if hosts[one] == data_centre),
+                tuple(one for one in others if hosts[one] != data_centre),
+            )
+        for is_local, chosen in (
+            (True, peers.local_hosts),
+            (False, peers.remote_hosts),
+        ):
+            key = (numbers[host], is_local)
+            receivers[key] = sorted(numbers[one] for one in chosen)
+    return receivers
+
+
 def simulate_load(plan: LoadPlan, seed: int) -> LoadResult:
     """Runs a simulation.
 
@@ -106,7 +136,10 @@
         )
         placer.use_targets(first_targets)
         placers.append(placer)
-    reports: list[dict[int, dict[int, int]]] = [{} for _ in placers]
+    peer_loads = [PeerLoads() for _ in placers]
+    for placer, loads in zip(placers, peer_loads, strict=True):
+        placer.peer_flows = loads.flows
+    receivers = _choose_receivers(plan)
     busy = dict.fromkeys(targets, 0)
     queues: dict[int, list[tuple[float, Callable[[float], None]]]] = {
         number: [] for number in targets
@@ -126,13 +159,11 @@
     def send_reports(sender: int, is_local: bool) -> Callable[[float], None]:
         def send(now_ms: float) -> None:
             flows = dict(placers[sender].observations.open_flows)
-            for receiver in range(plan.instances):
-                is_receiver_local = (receiver - sender) % plan.data_centres == 0
-                if receiver != sender and is_receiver_local == is_local:
-                    schedule(
-                        now_ms + (0.2 if is_local else plan.hop_ms),
-                        deliver_report(receiver, sender, flows),
-                    )
+            for receiver in receivers[sender, is_local]:
+                schedule(
+                    now_ms + (0.2 if is_local else plan.hop_ms),
+                    deliver_report(receiver, sender, flows),
+                )
             interval_ms = (
                 plan.local_report_ms if is_local else plan.remote_report_ms
             )
@@ -145,13 +176,7 @@
         receiver: int, sender: int, flows: dict[int, int]
     ) -> Callable[[float], None]:
         def merge(now_ms: float) -> None:
-            del now_ms
-            reports[receiver][sender] = flows
-            total: dict[int, int] = {}
-            for other in reports[receiver].values():
-                for token, count in other.items():
-                    total[token] = total.get(token, 0) + count
-            placers[receiver].peer_flows = total
+            peer_loads[receiver].receive(str(sender), flows, int(now_ms))
 
         return merge
 
