--- a/bluebelltide/placement/_observations.py
+++ b/bluebelltide/placement/_observations.py
@@ -47,6 +47,7 @@
         "last_seen_ms",
         "is_answered",
         "is_counted",
+        "is_first_choice",
         "first_seen_ms",
         "request_id",
         "token",
@@ -63,8 +64,18 @@
         self.is_counted = self.was_opened_here
         self.has_ended = False
         self.was_slot_free = False
+        self.is_first_choice = False
         self.request_id = ""
 
+    def may_have_token(self, token: int) -> bool:
+        """Returns whether a packet with a token can belong to this flow.
+
+        If the first transmission was the only one that was placed here, a
+        packet with another token is a late one of an earlier flow from the
+        same port.
+        """
+        return token == self.token or not self.is_first_choice
+
 
 class TargetHealth(NamedTuple):
     """Whether one target answers, as seen by this instance."""
@@ -104,7 +115,12 @@
         return self._flows.get(key)
 
     def note_opening_packet(
-        self, key: FlowKey, token: int, now_ms: int, was_slot_free: bool = False
+        self,
+        key: FlowKey,
+        token: int,
+        now_ms: int,
+        was_slot_free: bool = False,
+        is_first_choice: bool = False,
     ) -> None:
         """Records that a flow's opening packet is sent to a target.
 
@@ -113,10 +129,13 @@
             token: The target's token.
             now_ms: The current time.
             was_slot_free: Whether the target seemed to have a free slot.
+            is_first_choice: Whether the packet is the first transmission, so
+                that no other target can have been chosen before.
         """
         self._remove_flow(key)
         flow = ObservedFlow(token, now_ms, is_answered=False)
         flow.was_slot_free = was_slot_free
+        flow.is_first_choice = is_first_choice
         self._flows[key] = flow
         self._awaiting_answer.append((key, flow))
         self._change_open_count(token, 1)
@@ -138,6 +157,8 @@
             answered an opening packet that this instance sent; else None.
         """
         flow = self._flows.get(key)
+        if flow is not None and not flow.may_have_token(token):
+            return None
         if flow is not None and flow.token != token:
             # A retransmission went to another target, but the first target
             # answered, too.
@@ -229,6 +250,8 @@
             The flow's state.
         """
         flow = self._flows.get(key)
+        if flow is not None and not flow.may_have_token(token):
+            return ObservedFlow(token, now_ms, is_answered=True)
         if flow is None:
             flow = ObservedFlow(token, now_ms, is_answered=True)
             self._flows[key] = flow
--- a/bluebelltide/placement/_placer.py
+++ b/bluebelltide/placement/_placer.py
@@ -226,7 +226,11 @@
         own_flows = observations.open_flows.get(token, 0)
         chosen = next(one for one in candidates if one.token == token)
         observations.note_opening_packet(
-            key, token, now_ms, _choice.has_free_slot(chosen)
+            key,
+            token,
+            now_ms,
+            was_slot_free=_choice.has_free_slot(chosen),
+            is_first_choice=retransmissions == 0,
         )
         return Placement(
             outcome,
--- a/bluebelltide/placement/tests/test_placer.py
+++ b/bluebelltide/placement/tests/test_placer.py
@@ -165,6 +165,30 @@
     assert observations.open_flows == {1: 1}
 
 
+@pytest.mark.parametrize("is_end", [False, True])
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_a_late_packet_of_an_earlier_flow_leaves_the_new_one_alone(
+    is_end: bool, is_answered: bool
+) -> None:
+    placer = make_placer(make_target("a"), make_target("b"))
+    observations = placer.observations
+    earlier = place(placer, b"1").token
+    observations.note_packet_with_token(b"1", earlier, now_ms=10)
+    observations.note_flow_end(b"1", earlier, now_ms=60)
+    # The caller reuses the port, and the earlier target is busy.
+    placer.peer_flows = {earlier: 2}
+    new = place(placer, b"1", now_ms=70).token
+    assert new != earlier
+    if is_answered:
+        observations.note_packet_with_token(b"1", new, now_ms=75)
+    if is_end:
+        observations.note_flow_end(b"1", earlier, now_ms=80)
+    else:
+        observations.note_packet_with_token(b"1", earlier, now_ms=80)
+    assert observations.open_flows == {new: 1}
+    assert place(placer, b"1", 1, now_ms=270).token == new
+
+
 class Fleet:
     """Instances that each see a part of one flow; time advances by 10 ms."""
 
