--- a/bluebelltide/_exceptions.py
+++ b/bluebelltide/_exceptions.py
@@ -28,6 +28,8 @@
     """The change may have been accepted; resend it with the same id."""
     NOT_FOUND = "not_found"
     """No entry has this key or name."""
+    NOT_READY = "not_ready"
+    """The process has just started and must first hear from another one."""
     PORT_IN_USE = "port_in_use"
     """An address cannot be bound, usually because another process uses it."""
     CORRUPT_STORE = "corrupt_store"
--- a/bluebelltide/bench/_slopes.py
+++ b/bluebelltide/bench/_slopes.py
@@ -607,7 +607,9 @@
     view.merge(first._replace(value=catalogue.encode_entry(hashed)))
     metrics = _metrics.create_metrics(None, "bench")
     registry = make_registry(1)
-    handler = _announce.AnnounceHandler(registry, view, "dc-1", metrics)
+    handler = _announce.AnnounceHandler(
+        registry, view, "dc-1", metrics, lambda: True
+    )
     api = _announce.create_announce_api(
         handler, metrics, lambda: True, dict, lambda: 1
     )
--- a/bluebelltide/entry/_announce.py
+++ b/bluebelltide/entry/_announce.py
@@ -58,8 +58,18 @@
         view: _view.CatalogueView,
         data_centre: str,
         metrics: _metrics.Metrics,
+        is_initialised: Callable[[], bool],
     ) -> None:
-        """Creates the handler."""
+        """Creates the handler.
+
+        Args:
+            registry: Stores the accepted announcements.
+            view: Holds the keys of the services.
+            data_centre: The data centre of the instance.
+            metrics: The metrics of the process.
+            is_initialised: Returns whether the view is current.
+        """
+        self._is_initialised = is_initialised
         self._registry = registry
         self._view = view
         self._data_centre = data_centre
@@ -77,6 +87,11 @@
             BluebelltideError: If the announcement is refused; a wrong key and a
                 refusal by the registry are counted.
         """
+        if not self._is_initialised():
+            raise _exceptions.BluebelltideError(
+                _exceptions.ErrorCode.NOT_READY,
+                "the instance is starting; announce to another one",
+            )
         announcement, problems = _checking.check_record(Announcement, body, "")
         _checking.raise_problems(
             _exceptions.ErrorCode.BAD_REQUEST, "announcement", problems
@@ -130,6 +145,7 @@
     _exceptions.ErrorCode.NOT_FOUND: 404,
     _exceptions.ErrorCode.STALE_GENERATION: 409,
     _exceptions.ErrorCode.TOO_LARGE: 413,
+    _exceptions.ErrorCode.NOT_READY: 503,
 }
 
 
--- a/bluebelltide/entry/_mesh.py
+++ b/bluebelltide/entry/_mesh.py
@@ -46,7 +46,17 @@
 
 
 class Mesh:
-    """Keeps links to the other entry instances and gossips over them."""
+    """Keeps links to the other entry instances and gossips over them.
+
+    Attributes:
+        view: The catalogue as far as it is known.
+        on_engine_message: Handles the messages of flow routing, if set.
+        swim: The other instances and their failure detection.
+        hello: How the instance introduces itself to peers.
+        catalogue_changed: Set when the catalogue changes; replaced each time.
+        is_catalogue_confirmed: Whether the catalogue is current, as far as can
+            be known, and not only what an earlier run saved.
+    """
 
     def __init__(
         self,
@@ -83,6 +93,7 @@
             "entry", settings.name, str(incarnation), settings.data_centre
         )
         self.catalogue_changed = anyio.Event()
+        self.is_catalogue_confirmed = False
         self._outgoing_links: dict[str, _links.Link] = {}
         # By peer address; cancelling a scope closes the link for good.
         self._link_scopes: dict[_types.Address, anyio.CancelScope] = {}
@@ -166,6 +177,7 @@
             self._registry.renew(message.renewals, _clock.now_ms())
         elif isinstance(message, _frames.Learned):
             self.merge_catalogue(message.entries)
+            self.is_catalogue_confirmed = True
         elif isinstance(message, _frames.StateSummary):
             if message != self._summary():
                 await link.send(self._digest())
@@ -199,27 +211,39 @@
             self._registry.summary(), self.view.summary()
         )
 
+    def _shared_entries(self) -> dict[str, _view.VersionedEntry]:
+        """Returns the catalogue entries that peers may learn from here.
+
+        The saved catalogue of an earlier run is not shared before it is
+        confirmed: instances that restart together would confirm each other's.
+        """
+        if not self.is_catalogue_confirmed:
+            return {}
+        return self.view.versioned_entries
+
     def _digest(self) -> _frames.StateDigest:
         return _frames.StateDigest(
             self._registry.digest(),
             tuple(
                 (key, versioned.version)
-                for key, versioned in self.view.versioned_entries.items()
+                for key, versioned in self._shared_entries().items()
             ),
         )
 
-    def _is_behind(self, digest: _frames.StateDigest) -> bool:
-        """Returns whether a peer knows newer entries or targets."""
-        is_catalogue_behind = any(
+    def _is_catalogue_behind(self, digest: _frames.StateDigest) -> bool:
+        """Returns whether a peer knows newer catalogue entries."""
+        return any(
             version > self.view.version_of(key)
             for key, version in digest.catalogue
         )
-        return is_catalogue_behind or self._registry.is_behind(digest.targets)
 
     async def _answer_digest(
         self, link: _links.Link, digest: _frames.StateDigest
     ) -> None:
-        if self._is_behind(digest):
+        is_catalogue_behind = self._is_catalogue_behind(digest)
+        if digest.catalogue and not is_catalogue_behind:
+            self.is_catalogue_confirmed = True
+        if is_catalogue_behind or self._registry.is_behind(digest.targets):
             await link.send(self._digest())
         targets = self._registry.newer_than(digest.targets)
         for start in range(0, len(targets), ITEMS_PER_FRAME):
@@ -228,7 +252,7 @@
         peer_versions = dict(digest.catalogue)
         entries = tuple(
             versioned
-            for key, versioned in self.view.versioned_entries.items()
+            for key, versioned in self._shared_entries().items()
             if versioned.version > peer_versions.get(key, 0)
         )
         for start in range(0, len(entries), ITEMS_PER_FRAME):
--- a/bluebelltide/entry/_service.py
+++ b/bluebelltide/entry/_service.py
@@ -56,7 +56,6 @@
         self._reported_versions: dict[str, int] = {}
         self._is_stopping = False
         self._next_full_update_ms = 0
-        self._is_initialised = False
         self._started_ms = _clock.now_ms()
         self.mesh = _mesh.Mesh(
             settings,
@@ -123,7 +122,7 @@
     def is_ready(self) -> bool:
         """Returns whether the fabric may send new flows to this instance."""
         return (
-            self._is_initialised
+            self.is_initialised()
             and not self._is_stopping
             and not self.view.is_instance_drained(self.settings.name)
             and (
@@ -131,6 +130,15 @@
             )
         )
 
+    def is_initialised(self) -> bool:
+        """Returns whether the catalogue is current, as far as can be known.
+
+        The saved catalogue of an earlier run may hold keys that have been
+        withdrawn since. It counts only after a replica or a peer has confirmed
+        or replaced it, or if none is found in time.
+        """
+        return self.mesh.is_catalogue_confirmed
+
     def limit_share(self) -> admission.Share:
         """Returns this instance's share of the limits of its data centre."""
         names = [member.name for member in self.mesh.swim.live_members()]
@@ -195,7 +203,7 @@
             async for message in link.messages():
                 if isinstance(message, _frames.Learned):
                     self.mesh.merge_catalogue(message.entries)
-                    self._is_initialised = True
+                    self.mesh.is_catalogue_confirmed = True
         finally:
             self._control_links.discard(link)
 
@@ -256,13 +264,8 @@
 
     def _update_readiness(self) -> None:
         waited_ms = _clock.now_ms() - self._started_ms
-        if (
-            self.view.versioned_entries
-            and len(self.mesh.swim.live_members()) > 1
-        ):
-            self._is_initialised = True
         if waited_ms > self.entry_settings.alone_after_ms:
-            self._is_initialised = True
+            self.mesh.is_catalogue_confirmed = True
         if self.mesh.swim.own_member.is_ready != self.is_ready():
             self.mesh.swim.update_own_member(self.is_ready())
             _LOG.info("ready: {}", self.is_ready())
@@ -311,7 +314,11 @@
     async with anyio.create_task_group() as tasks:
         service = EntryService(settings, metrics, tasks)
         handler = _announce.AnnounceHandler(
-            service.registry, service.view, settings.data_centre, metrics
+            service.registry,
+            service.view,
+            settings.data_centre,
+            metrics,
+            service.is_initialised,
         )
         api = _announce.create_announce_api(
             handler,
--- a/bluebelltide/entry/tests/test_announce.py
+++ b/bluebelltide/entry/tests/test_announce.py
@@ -34,8 +34,13 @@
             self.view.merge(_view.VersionedEntry(f"service/{name}", 1, value))
         self.registry = membership.TargetRegistry()
         self.metrics = _metrics.create_metrics(None, "test")
+        self.is_initialised = True
         self.handler = _announce.AnnounceHandler(
-            self.registry, self.view, "dc", self.metrics
+            self.registry,
+            self.view,
+            "dc",
+            self.metrics,
+            lambda: self.is_initialised,
         )
 
     def announce(
@@ -99,6 +104,18 @@
         assert fixture.metrics.counts[counter] == 1
 
 
+def test_an_instance_with_a_saved_catalogue_only_accepts_no_announcement() -> (
+    None
+):
+    """The saved catalogue may hold a key that has been withdrawn since."""
+    fixture = AnnounceFixture()
+    fixture.is_initialised = False
+    with pytest.raises(_exceptions.BluebelltideError) as raised:
+        fixture.announce()
+    assert raised.value.code == Code.NOT_READY
+    assert fixture.registry.targets() == []
+
+
 def accepting_targets(
     fixture: AnnounceFixture, service: str, now_ms: int
 ) -> list[str]:
