--- a/bluebelltide/ctl/__main__.py
+++ b/bluebelltide/ctl/__main__.py
@@ -18,6 +18,8 @@
 from bluebelltide import _tokens
 from bluebelltide import catalogue
 from bluebelltide.ctl import _client
+from bluebelltide.ctl import _explain
+from bluebelltide.ctl import _log_files
 from bluebelltide.ctl import _plan
 
 IN_FORCE_TIMEOUT_S = 9.0
@@ -462,6 +464,74 @@
     return _program.run_and_report(run)
 
 
+@app.command
+def explain(
+    *logs: str,
+    request: str = "",
+    flow: str = "",
+    version: int | None = None,
+    as_json: AsJson = False,
+) -> int:
+    """Show from logs what happened to a request, a flow or a change.
+
+    Give one of the three. The logs are those of a direct deployment.
+
+    Args:
+        logs: Files with the logs of the processes, each named after one.
+        request: The id of a request.
+        flow: Both ends of a flow, as the logs show them.
+        version: The version of a deployment.
+        as_json: Print JSON.
+    """
+
+    def run() -> None:
+        lines = _log_files.read_logs(logs)
+        if request:
+            explanation = _explain.explain_request(lines, request)
+        elif flow:
+            explanation = _explain.explain_flow(lines, flow)
+        elif version is not None:
+            explanation = _explain.explain_change(lines, version)
+        else:
+            raise _exceptions.BluebelltideError(
+                _exceptions.ErrorCode.BAD_SETTINGS,
+                "give one of --request, --flow and --version",
+            )
+        if explanation is None:
+            raise _exceptions.BluebelltideError(
+                _exceptions.ErrorCode.NOT_FOUND, "no line of the logs names it"
+            )
+        _print_explanation(explanation, as_json)
+
+    return _program.run_and_report(run)
+
+
+def _print_explanation(
+    explanation: _explain.Explanation, as_json: bool
+) -> None:
+    if as_json:
+        chain = [line._asdict() for line in explanation.chain]
+        print(json.dumps({"chain": chain, "findings": explanation.findings}))
+        return
+    first_ms = explanation.chain[0].time_ms
+    rows = [
+        {
+            "after_ms": line.time_ms - first_ms,
+            "process": line.process,
+            "event": line.event,
+            "fields": " ".join(
+                f"{name}={value}"
+                for name, value in line.fields.items()
+                if name not in ("level", "channel")
+            ),
+        }
+        for line in explanation.chain
+    ]
+    _print_rows(rows, False, "chain")
+    for finding in explanation.findings:
+        print(f"- {finding}")
+
+
 @app.command(name="hash-token")
 def hash_token() -> int:
     """Read a token or key from standard input and print its hash."""
--- /dev/null
+++ b/bluebelltide/ctl/_log_files.py
@@ -0,0 +1,63 @@
+"""Reads collected logs of direct deployments."""
+
+from collections.abc import Iterable, Iterator
+import pathlib
+
+import msgspec
+
+from bluebelltide import _exceptions
+from bluebelltide.ctl import _explain
+
+_decode_json = msgspec.json.Decoder().decode
+
+
+def parse_line(text: str, process: str) -> _explain.LogLine | None:
+    """Parses a line of a log.
+
+    Args:
+        text: The line. Anything before the first brace is the prefix of a log
+            collector; its last word names the process.
+        process: The process that wrote the line, unless it has a prefix.
+
+    Returns:
+        The line, or None if it is not a structured one.
+    """
+    prefix, brace, rest = text.partition("{")
+    try:
+        fields = _decode_json(brace + rest)
+    except msgspec.DecodeError:
+        return None
+    if not isinstance(fields, dict):
+        return None
+    time_ms = fields.pop("unix_ms", None)
+    event = fields.pop("event", None)
+    if not isinstance(time_ms, int) or not isinstance(event, str):
+        return None
+    words = prefix.split()
+    name = words[-1].strip(":|[]") if words else process
+    return _explain.LogLine(time_ms, name, event, fields)
+
+
+def read_logs(paths: Iterable[str]) -> Iterator[_explain.LogLine]:
+    """Reads the structured lines of files, each named after its process.
+
+    Args:
+        paths: The files.
+
+    Yields:
+        The lines, file by file.
+
+    Raises:
+        BluebelltideError: With NOT_FOUND if a file cannot be read.
+    """
+    for path in map(pathlib.Path, paths):
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise _exceptions.BluebelltideError(
+                _exceptions.ErrorCode.NOT_FOUND, str(error), str(path)
+            ) from error
+        for line in text.splitlines():
+            parsed = parse_line(line, path.stem)
+            if parsed is not None:
+                yield parsed
