--- a/bluebelltide/bench/_scale.py
+++ b/bluebelltide/bench/_scale.py
@@ -211,7 +211,7 @@
             next_host = self._poller.next_host(now_ms)
             if next_host is not None:
                 self._send_poll(next_host)
-            wait_ms = _direct_service.POLL_INTERVAL_MS
+            wait_ms = self._poller.interval_ms
         self._network.at(now_ms + wait_ms, self._poll)
 
     def _report(self) -> None:
@@ -252,6 +252,11 @@
                 self._send_poll(message.replica.host)
             if self.ready_ms is None and not message.has_more:
                 self.ready_ms = now_ms
+                self._use_targets()
+
+    def _use_targets(self) -> None:
+        targets = self._directory.live_targets()
+        self._placer.use_targets(dict(enumerate(targets, start=1)))
 
 
 def _make_target(number: int, generation: int) -> _types.Target:
--- a/bluebelltide/bench/tests/test_scale.py
+++ b/bluebelltide/bench/tests/test_scale.py
@@ -1,6 +1,7 @@
 """Tests of how control messages grow with the number of instances."""
 
 from bluebelltide.bench import _scale
+from bluebelltide.membership import _replica_poller
 
 
 def test_messages_of_an_instance_do_not_grow_with_the_instances() -> None:
@@ -16,7 +17,7 @@
     assert large.replica_polls_per_s <= 2.2 * small.replica_polls_per_s
     # Instances that have polled since different changes need different
     # updates; there are at most as many as changes between two polls.
-    changes_per_poll = _scale.REPLICAS * 200 / _scale.CHANGE_INTERVAL_MS
+    changes_per_poll = _replica_poller.POLL_ROUND_MS / _scale.CHANGE_INTERVAL_MS
     assert large.encoded_per_change <= changes_per_poll + 1
     assert large.ready_ms <= 1000
 
--- a/bluebelltide/control/_update_publisher.py
+++ b/bluebelltide/control/_update_publisher.py
@@ -17,7 +17,7 @@
 from bluebelltide.membership import _peer_ring
 from bluebelltide.messaging import _datagrams
 
-POLLER_TIMEOUT_MS = 3000
+POLLER_TIMEOUT_MS = 4500
 """How long after its latest poll a process gets updates without polling."""
 RING_INTERVAL_MS = 200
 """Minimum time between two changes of the ring of entry instances."""
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -29,8 +29,6 @@
 from bluebelltide.messaging import _datagrams
 from bluebelltide.placement import create_placer
 
-POLL_INTERVAL_MS = 200
-"""Time between two polls; each goes to the next replica in turn."""
 STARTING_POLL_INTERVAL_MS = 50
 """Time between the first two polls of all replicas while routes or targets are
 unknown; it doubles with each poll, so that replicas that start together with
@@ -44,8 +42,8 @@
 data centre to offer a new deployment before it fetches it from another."""
 STOP_DELAY_MS = 2500
 """How long a stopping instance forwards packets after it became unready."""
-EXPIRY_INTERVAL_MS = 100
-"""Time between two searches for overdue answers and idle flows."""
+EXPIRY_INTERVAL_MS = 90
+"""Minimum time between two searches for overdue answers and idle flows."""
 
 
 class DirectEntrySettings(NamedTuple):
@@ -143,8 +141,7 @@
             settings.ready_address, self._answer_readiness
         ).start(tasks)
         tasks.start_soon(self._poll_replicas_forever)
-        tasks.start_soon(self._reporter.run)
-        tasks.start_soon(self._expire_flows_forever)
+        tasks.start_soon(self._maintain_forever)
         events.write("started", address=str(settings.packet_address))
 
     def close(self) -> None:
@@ -391,12 +388,18 @@
             next_host = self._replica_poller.next_host(_clock.now_ms())
             if next_host is not None:
                 self._send_poll(next_host)
-            await anyio.sleep(POLL_INTERVAL_MS / 1000)
+            await anyio.sleep(self._replica_poller.interval_ms / 1000)
 
-    async def _expire_flows_forever(self) -> None:
+    async def _maintain_forever(self) -> None:
+        """Checks timeouts, releases held packets and reports the load."""
+        expired_ms = 0
         while True:
-            await anyio.sleep(EXPIRY_INTERVAL_MS / 1000)
+            await anyio.sleep(self._reporter.next_wait_ms() / 1000)
             self._check_for_pause()
             now_ms = _clock.now_ms()
-            self._placer.observations.check_overdue_answers(now_ms)
-            self._placer.observations.expire_idle_flows(now_ms)
+            if now_ms - expired_ms >= EXPIRY_INTERVAL_MS:
+                expired_ms = now_ms
+                self._placer.observations.check_overdue_answers(now_ms)
+                self._placer.observations.expire_idle_flows(now_ms)
+            self._front.release_held_packets(now_ms)
+            self._reporter.send_due_reports(now_ms)
--- a/bluebelltide/entry/_load_reporter.py
+++ b/bluebelltide/entry/_load_reporter.py
@@ -7,9 +7,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import anyio
-
-from bluebelltide import _clock
 from bluebelltide.messaging import _datagrams
 from bluebelltide.placement import PeerLoads
 from bluebelltide.placement import Placer
@@ -31,6 +28,11 @@
 SPARSE_LOCAL_REPORT_INTERVAL_MS = 100
 """Minimum time between reports to local peers in a large deployment, where one
 instance sees few flows."""
+CALM_LOCAL_REPORT_INTERVAL_MS = 400
+"""The same while few slots are busy, but for reports of an ejected target."""
+CALM_UTILISATION = 0.4
+"""The share of busy slots below which an instance reports less often. Nearly
+every target has a free slot then, whatever other instances have placed."""
 SPARSE_REMOTE_REPORT_INTERVAL_MS = 400
 """Minimum time between reports to remote peers in a large deployment; a report
 is used for longer."""
@@ -175,16 +177,8 @@
             ),
         )
 
-    async def run(self) -> None:
-        """Reports the load and releases held packets until cancelled."""
-        while True:
-            await anyio.sleep(self.next_wait_ms() / 1000)
-            now_ms = _clock.now_ms()
-            self._front.release_held_packets(now_ms)
-            self.send_due_reports(now_ms)
-
     def next_wait_ms(self) -> int:
-        """Returns the time until the next check for due reports."""
+        """Returns the time until held packets and due reports are checked."""
         local_interval_ms, _ = self._intervals_ms()
         if self._front.held_packet_count:
             return min(local_interval_ms, HELD_PACKET_CHECK_INTERVAL_MS)
@@ -195,8 +189,11 @@
         local_interval_ms, remote_interval_ms = self._intervals_ms()
         report = self._make_report(now_ms)
         is_remote_due = now_ms - self._remote_sent_ms >= remote_interval_ms
-        is_local_due = now_ms - self._local_sent_ms >= local_interval_ms
-        if is_remote_due or (is_local_due and report != self._last_report):
+        since_local_ms = now_ms - self._local_sent_ms
+        is_local_due = since_local_ms >= local_interval_ms and (
+            self._has_news(report, since_local_ms)
+        )
+        if is_remote_due or is_local_due:
             self._last_report = report
             self._local_sent_ms = now_ms
             self._send_report(self._local_hosts, report)
@@ -206,6 +203,25 @@
             self._loads.expire(now_ms)
             self._update_peer_count()
 
+    def _has_news(
+        self, report: _datagrams.LoadReport, since_local_ms: int
+    ) -> bool:
+        """Returns whether local peers should get a report now."""
+        last = self._last_report
+        if last is None or report.ejected_tokens != last.ejected_tokens:
+            return True
+        may_wait = since_local_ms < CALM_LOCAL_REPORT_INTERVAL_MS
+        if may_wait and self._is_sparse and self._is_calm():
+            return False
+        return report != last
+
+    def _is_calm(self) -> bool:
+        """Returns whether few slots are busy, by the flows known here."""
+        utilisation = self._placer.estimate_utilisation(
+            1 + self._loads.peer_count
+        )
+        return utilisation < CALM_UTILISATION
+
     def _make_report(self, now_ms: int) -> _datagrams.LoadReport:
         observations = self._placer.observations
         return _datagrams.LoadReport(
--- a/bluebelltide/entry/tests/test_load_reporter.py
+++ b/bluebelltide/entry/tests/test_load_reporter.py
@@ -3,7 +3,10 @@
 import pytest
 
 from bluebelltide.entry import _load_reporter
+from bluebelltide.messaging import _datagrams
 from bluebelltide.placement import _peer_loads
+from bluebelltide.placement import create_placer
+from bluebelltide.placement.tests import load_simulation
 
 
 @pytest.mark.parametrize("peers", [0, 1, 2, 5, 16, 100])
@@ -20,3 +23,86 @@
         _load_reporter.REMOTE_REPORTS_PER_S,
     )
     assert 2 * interval_ms <= _peer_loads.REPORT_LIFETIME_MS
+
+
+class NoHeldPackets:
+    """A front that holds no opening packets."""
+
+    held_packet_count = 0
+
+    def release_held_packets(self, now_ms: int) -> None:
+        """Releases nothing."""
+
+
+class LargeDeployment:
+    """One of 200 instances, with 150 targets of 2 slots."""
+
+    def __init__(self) -> None:
+        """Creates the instance, which reports to 4 local and 2 remote ones."""
+        self.sent_ms: list[int] = []
+        self.now_ms = 0
+        self.placer = create_placer("dc-0", lambda: 0.5)
+        self.placer.use_targets(load_simulation.make_targets(150, 6, 2))
+        self.reporter = _load_reporter.LoadReporter(
+            "10.0.0.1", self.placer, NoHeldPackets(), self._send
+        )
+        self.reporter.peers = _datagrams.PeerList(
+            1, tuple("abcd"), tuple("ef"), 200
+        )
+
+    def _send(self, host: str, data: bytes) -> None:
+        if host == "a":
+            self.sent_ms.append(self.now_ms)
+
+    def run_until(self, end_ms: int, peer_flows: int) -> list[int]:
+        """Opens and ends flows all the time, here and at six peers.
+
+        Args:
+            end_ms: The end of the time.
+            peer_flows: The open flows of each peer.
+
+        Returns:
+            When a local peer got a report.
+        """
+        self.sent_ms.clear()
+        while self.now_ms < end_ms:
+            self.now_ms += 50
+            self._replace_open_flow()
+            if self.now_ms % 400 == 0:
+                self._receive_reports(peer_flows)
+            if self.now_ms % 100 == 0:
+                self.reporter.send_due_reports(self.now_ms)
+        return self.sent_ms
+
+    def _replace_open_flow(self) -> None:
+        observations = self.placer.observations
+        last, number = (self.now_ms // 50 - 1), self.now_ms // 50
+        observations.note_flow_end(bytes([last % 100]), 1 + last % 7, last)
+        observations.note_opening_packet(
+            bytes([number % 100]), 1 + number % 7, self.now_ms
+        )
+
+    def _receive_reports(self, flow_count: int) -> None:
+        flows = {1 + number: 1 for number in range(flow_count)}
+        for peer in "abcdef":
+            report = _datagrams.LoadReport(peer, flows, ())
+            self.reporter.receive(report, self.now_ms)
+
+
+def test_a_large_deployments_instance_reports_seldom_while_it_is_calm() -> None:
+    deployment = LargeDeployment()
+    deployment.run_until(1000, peer_flows=0)
+    assert len(deployment.run_until(5000, peer_flows=0)) <= 4 * 2.5 + 1
+
+
+def test_it_reports_often_while_slots_are_scarce() -> None:
+    deployment = LargeDeployment()
+    deployment.run_until(1000, peer_flows=2)
+    assert len(deployment.run_until(5000, peer_flows=2)) >= 35
+
+
+def test_it_reports_an_ejected_target_at_once_in_any_case() -> None:
+    deployment = LargeDeployment()
+    deployment.run_until(1000, peer_flows=0)
+    deployment.placer.observations.note_peer_ejections((9,), 1000)
+    assert deployment.run_until(1300, peer_flows=0)[0] <= 1100
--- a/bluebelltide/membership/_replica_poller.py
+++ b/bluebelltide/membership/_replica_poller.py
@@ -15,6 +15,11 @@
 REPLICA_RETENTION_MS = 20_000
 """How long a replica that is not a seed is polled after it was last listed in
 an update or sent one."""
+POLL_ROUND_MS = 2000
+"""Time in which an entry instance polls each replica once."""
+POLL_INTERVALS_MS = (200, 400)
+"""Bounds of the time between two polls of an entry instance. A change that was
+pushed but lost is known after the next poll."""
 SOURCE_TIMEOUT_MS = 200
 """How long the replica from which a process takes many changes, an update at a
 time, may be silent before another replica takes over."""
@@ -91,6 +96,17 @@
                 self._cursors.pop(host, None)
         return sorted(self._contacts)
 
+    @property
+    def interval_ms(self) -> int:
+        """The time between two polls of one replica each.
+
+        A replica gets the same number of polls from an instance, however many
+        replicas there are.
+        """
+        shortest_ms, longest_ms = POLL_INTERVALS_MS
+        round_share_ms = POLL_ROUND_MS // max(1, len(self._contacts))
+        return max(shortest_ms, min(longest_ms, round_share_ms))
+
     def next_host(self, now_ms: int) -> str | None:
         """Returns the next machine in turn, or None if there is none."""
         hosts = self.hosts(now_ms)
--- a/bluebelltide/membership/tests/test_replica_poller.py
+++ b/bluebelltide/membership/tests/test_replica_poller.py
@@ -1,5 +1,7 @@
 """Tests of polling control replicas."""
 
+import pytest
+
 from bluebelltide.membership import _replica_poller
 from bluebelltide.messaging import _datagrams
 
@@ -84,3 +86,15 @@
     done = other._replace(first_index=16, last_index=20, has_more=False)
     assert not poller.receive(done, silent_ms)
     assert poller.receive(make_update(32, 48, has_more=True), silent_ms)
+
+
+@pytest.mark.parametrize("replicas", [1, 3, 4, 6, 7, 20])
+def test_a_replica_gets_as_many_polls_however_many_replicas_there_are(
+    replicas: int,
+) -> None:
+    poller = _replica_poller.ReplicaPoller("10.0.1.1", "north", None)
+    hosts = tuple(f"10.0.0.{number}" for number in range(replicas))
+    poller.set_seed_hosts(hosts, now_ms=0)
+    assert 200 <= poller.interval_ms <= 400
+    if 5 <= replicas <= 10:
+        assert poller.interval_ms * replicas == pytest.approx(2000, abs=20)
--- a/bluebelltide/placement/_placer.py
+++ b/bluebelltide/placement/_placer.py
@@ -76,7 +76,7 @@
     Attributes:
         observations: What the instance sees of flows and targets.
         peer_flows: Open flows that other instances reported, by token.
-        peer_count: How many other instances report.
+        peer_count: How many other instances share the targets.
     """
 
     def __init__(self, data_centre: str, draw: Callable[[], float]) -> None:
@@ -88,6 +88,7 @@
         self._draw = draw
         self._by_service: Mapping[str, Sequence[tuple[int, _types.Target]]] = {}
         self._accepting: set[int] = set()
+        self._slot_count = 0
         self._mean_duration_ms: dict[str, float] = {}
         self._multi_request_services: set[str] = set()
 
@@ -98,6 +99,7 @@
             by_service.setdefault(target.service, []).append((token, target))
         self._by_service = by_service
         self._accepting = set(targets)
+        self._slot_count = sum(target.slots for target in targets.values())
 
     def update_flow_duration(
         self, service: str, flow: _observations.ObservedFlow, now_ms: int
@@ -144,6 +146,22 @@
             > latency_goal_ms
         )
 
+    def estimate_utilisation(self, reporting_instances: int) -> float:
+        """Returns the share of the slots of all targets that are busy.
+
+        Args:
+            reporting_instances: How many instances the known flows come from,
+                this one included. All instances are taken to be equally busy.
+
+        Returns:
+            The share; above 1 if flows queue.
+        """
+        known_flows = sum(self.observations.open_flows.values())
+        known_flows += sum(self.peer_flows.values())
+        instances = 1 + self.peer_count
+        open_flows = max(0, known_flows) * instances / reporting_instances
+        return open_flows / max(1, self._slot_count)
+
     def release_allowance(self, service: str, now_ms: int) -> int:
         """Returns how many held packets may be placed now.
 
