--- a/bluebelltide/bench/_scale.py
+++ b/bluebelltide/bench/_scale.py
@@ -129,7 +129,7 @@
         self._network = network
         self._status = _update_publisher.ReplicaStatus(1, 1, True)
         for target in range(targets):
-            self.merge(_make_target(target, 1))
+            self.merge(make_target(target, 1))
         network.receivers[self.host] = self._receive
 
     def merge(self, target: _types.Target) -> None:
@@ -259,7 +259,8 @@
         self._placer.use_targets(dict(enumerate(targets, start=1)))
 
 
-def _make_target(number: int, generation: int) -> _types.Target:
+def make_target(number: int, generation: int) -> _types.Target:
+    """Makes a target of the simulated deployment."""
     return _types.Target(
         f"i-{number:04x}",
         "service",
@@ -339,7 +340,7 @@
     encoded_before = sum(one.publisher.encoding_count for one in replicas)
     updates_before = sum(entry.updates for entry in entries)
     for number in range(CHANGES):
-        changed = _make_target(number % targets, 2 + number)
+        changed = make_target(number % targets, 2 + number)
         first = replicas[number % REPLICAS]
         network.run_until(CHANGE_FROM_MS + number * CHANGE_INTERVAL_MS)
         for replica in replicas:
--- a/bluebelltide/bench/_tokens.py
+++ b/bluebelltide/bench/_tokens.py
@@ -17,6 +17,7 @@
 from bluebelltide import _types
 from bluebelltide.catalogue import _deployment
 from bluebelltide.fronts import _token_front
+from bluebelltide.fronts import _token_packets
 from bluebelltide.membership import _directory
 from bluebelltide.placement import create_placer
 
@@ -26,7 +27,7 @@
 """How many packets a caller sends on a flow, including the opening packet."""
 _PACKET_FORMAT = struct.Struct(">BIIH")
 """The kind of a packet, its token, flow number and port."""
-_PACKET_KINDS = tuple(_token_front.PacketKind)
+_PACKET_KINDS = tuple(_token_packets.PacketKind)
 _CALLER_ADDRESS = ("127.0.0.1", 9)
 
 
@@ -127,7 +128,7 @@
             )
             for port, service in enumerate(SERVICES)
         )
-        codec = _token_front.PacketCodec(
+        codec = _token_packets.PacketCodec(
             _parse,
             lambda data: "",
             lambda target: target.target_id.encode(),
@@ -187,10 +188,10 @@
     del values
 
 
-def _parse(data: bytes) -> _token_front.TokenPacket:
+def _parse(data: bytes) -> _token_packets.TokenPacket:
     kind, token, flow, port = _PACKET_FORMAT.unpack(data)
     key = flow.to_bytes(4, "big")
-    return _token_front.TokenPacket(
+    return _token_packets.TokenPacket(
         _PACKET_KINDS[kind], token, key, 0, "198.18.0.1", port
     )
 
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -21,15 +21,14 @@
 from bluebelltide.catalogue import _store
 from bluebelltide.control import _deployment_replica
 from bluebelltide.control import _lease_watch
-from bluebelltide.control import _recovered_targets
 from bluebelltide.control import _renewals
+from bluebelltide.control import _saved_targets
 from bluebelltide.control import _update_publisher
 from bluebelltide.control import _update_sender
 from bluebelltide.control import _voter_replacement
 from bluebelltide.control import _voters
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _replica_poller
-from bluebelltide.membership import _target_file
 from bluebelltide.messaging import _calls
 from bluebelltide.messaging import _datagrams
 
@@ -87,10 +86,9 @@
         self._renewals = _renewals.Renewals(self.directory)
         self._lease_watch = _lease_watch.LeaseWatch()
         self._keys_being_fetched: set[str] = set()
-        self._recovered_target_count = 0
-        self._recovered_targets = _recovered_targets.RecoveredTargets(())
-        self._previous_entry_hosts: tuple[str, ...] = ()
-        self._last_saved: tuple[int, tuple[str, ...]] = (0, ())
+        self._saved_targets = _saved_targets.SavedTargets(
+            settings.data_folder, self.directory
+        )
         self._own_replica = _datagrams.Replica("", settings.data_centre)
         self._publisher: _update_publisher.UpdatePublisher | None = None
         self._update_sender: _update_sender.UpdateSender | None = None
@@ -107,7 +105,7 @@
         settings = self._settings
         self._tasks = tasks
         self.deployment_replica.start(tasks)
-        self._recover_targets()
+        self._saved_targets.recover(_clock.now_ms())
         self._own_replica = _datagrams.Replica(
             self.deployment_replica.identity, settings.data_centre
         )
@@ -178,39 +176,17 @@
     async def _serve_call(self, stream: anyio.abc.SocketStream) -> None:
         await _calls.serve_call(stream, self.deployment_replica.handle_call)
 
-    def _recover_targets(self) -> None:
-        """Loads the targets of the previous run, most of which still live."""
-        folder = self._settings.data_folder
-        try:
-            saved = _target_file.read_targets(folder)
-        except _exceptions.BluebelltideError as error:
-            events.write("targets_not_recovered", error=str(error))
-            return
-        for record in saved.records:
-            self.directory.merge(record, _clock.now_ms())
-        self._recovered_target_count = len(saved.records)
-        self._recovered_targets = _recovered_targets.RecoveredTargets(
-            saved.records
-        )
-        self._previous_entry_hosts = saved.entry_hosts
-        self._last_saved = (self.directory.last_index, saved.entry_hosts)
-        events.write(
-            "targets_recovered",
-            records=len(saved.records),
-            instances=len(saved.entry_hosts),
-        )
-
     async def _notify_previous_instances(self) -> None:
         """Notifies the instances of the previous run of the restart."""
         assert self._publisher is not None
         until_ms = self._started_ms + RESTART_NOTICE_MS
+        hosts = self._saved_targets.previous_entry_hosts
         interval_ms = max(
-            RESTART_NOTICE_INTERVAL_MS,
-            RESTART_NOTICE_MS_PER_HOST * len(self._previous_entry_hosts),
+            RESTART_NOTICE_INTERVAL_MS, RESTART_NOTICE_MS_PER_HOST * len(hosts)
         )
-        while self._previous_entry_hosts and _clock.now_ms() < until_ms:
+        while hosts and _clock.now_ms() < until_ms:
             notices = self._publisher.make_restart_notices(
-                self._previous_entry_hosts, self._status(), _clock.now_ms()
+                hosts, self._status(), _clock.now_ms()
             )
             for notice in notices:
                 self._send_data(notice.host, notice.encoded.data)
@@ -218,37 +194,15 @@
 
     async def _save_for_restart_forever(self) -> None:
         """Saves what the acceptor's log lacks for the next start."""
+        assert self._publisher is not None
         while True:
             await anyio.sleep(SAVE_INTERVAL_MS / 1000)
-            if self._last_saved != self._state_to_save():
-                await self._save_targets()
+            entry_hosts = self._publisher.entry_hosts()
+            await self._saved_targets.save_if_changed(entry_hosts)
             state = self.deployment_replica.unsaved_deployment()
             if state is not None:
                 await self._save_deployment(state)
 
-    def _state_to_save(self) -> tuple[int, tuple[str, ...]]:
-        """Returns the index of the latest change, and the entry hosts."""
-        assert self._publisher is not None
-        return self.directory.last_index, self._publisher.entry_hosts()
-
-    async def _save_targets(self) -> None:
-        state_to_save = self._state_to_save()
-        membership = _target_file.SavedMembership(
-            tuple(self.directory.records()), state_to_save[1]
-        )
-        try:
-            await anyio.to_thread.run_sync(
-                _target_file.write_targets,
-                self._settings.data_folder,
-                membership,
-            )
-        except OSError as error:
-            # A restart would recover targets that have left since the last
-            # success, so the next check tries again.
-            events.write("targets_not_stored", error=str(error))
-            return
-        self._last_saved = state_to_save
-
     async def _save_deployment(self, state: _register.RegisterState) -> None:
         try:
             await anyio.to_thread.run_sync(
@@ -263,7 +217,7 @@
         They are known from the previous run, or because each of them has had
         time to announce itself.
         """
-        if self._recovered_target_count:
+        if self._saved_targets.recovered_count:
             return True
         age_ms = _clock.now_ms() - self._started_ms
         share = COMPLETE_VIEW_LEASE_SHARE
@@ -407,7 +361,7 @@
             self._metrics.count("target", "expired")
             events.write("target_expired", target=target_id, silent_ms=lease_ms)
         listened_ms = now_ms - listening_since_ms
-        unconfirmed = self._recovered_targets.take_unconfirmed(
+        unconfirmed = self._saved_targets.recovered.take_unconfirmed(
             self.directory, lease_ms, listened_ms
         )
         for target_id in unconfirmed:
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -20,9 +20,11 @@
 from bluebelltide import _types
 from bluebelltide._events import events
 from bluebelltide.catalogue import _deployment
+from bluebelltide.entry import _flow_log
 from bluebelltide.entry import _load_reporter
 from bluebelltide.entry import _pause_watch
 from bluebelltide.fronts import _token_front
+from bluebelltide.fronts import _token_packets
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _replica_poller
 from bluebelltide.messaging import _calls
@@ -74,7 +76,7 @@
     def __init__(
         self,
         settings: DirectEntrySettings,
-        codec: _token_front.PacketCodec,
+        codec: _token_packets.PacketCodec,
         read_deployment: Callable[[bytes], _deployment.Deployment],
         metrics: _metrics.Metrics,
     ) -> None:
@@ -100,9 +102,9 @@
             self._send_packet,
             metrics.count,
             metrics.observe_ms,
-            self._log_opening_packet,
-            self._log_request,
-            self._log_flow_end,
+            _flow_log.log_opening_packet,
+            _flow_log.log_request,
+            _flow_log.make_flow_end_logger(metrics),
         )
         self._reporter = _load_reporter.LoadReporter(
             settings.host, self._placer, self._front, self._send_datagram
@@ -210,41 +212,6 @@
         for host in self._replica_poller.hosts(_clock.now_ms()):
             self._send_poll(host)
 
-    def _log_opening_packet(self, report: _token_front.OpeningReport) -> None:
-        placement = report.placement
-        events.write(
-            "flow_opening",
-            flow=report.flow,
-            copy=report.retransmissions,
-            route=report.route,
-            version=report.version,
-            service=report.service,
-            target=report.target_id,
-            outcome=report.outcome,
-            own_flows=placement.own_flows,
-            peer_flows=placement.peer_flows,
-            candidates=placement.candidate_count,
-            held_ms=report.held_ms,
-        )
-
-    def _log_request(self, report: _token_front.RequestReport) -> None:
-        events.write(
-            "request_forwarded",
-            request=report.request_id,
-            flow=report.flow,
-            target=report.target_id,
-            outcome="forwarded" if report.target_id else "unknown_target",
-        )
-
-    def _log_flow_end(self, report: _token_front.FlowEndReport) -> None:
-        self._metrics.observe_ms("flow_open_ms", report.open_ms)
-        events.write(
-            "flow_ended",
-            flow=report.flow,
-            target=report.target_id,
-            open_ms=report.open_ms,
-        )
-
     def _on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         self._check_for_pause()
         try:
--- a/bluebelltide/fronts/_token_front.py
+++ b/bluebelltide/fronts/_token_front.py
@@ -7,12 +7,13 @@
 """
 
 from collections.abc import Callable, Mapping
-from enum import StrEnum
 from typing import NamedTuple
 
 from bluebelltide import _codes
 from bluebelltide import _types
 from bluebelltide.catalogue import _deployment
+from bluebelltide.fronts import _token_packets
+from bluebelltide.fronts import _token_reports
 from bluebelltide.placement import TRANSMISSION_TIMES_MS
 from bluebelltide.placement import HeldPacket
 from bluebelltide.placement import HeldPacketQueue
@@ -23,52 +24,6 @@
 from bluebelltide.placement import _affinity
 
 
-class PacketKind(StrEnum):
-    """What a caller's packet does to its flow."""
-
-    OPENING = "opening"
-    """An opening packet or a retransmission of it."""
-    DATA = "data"
-    """A packet that carries data or an acknowledgement."""
-    ENDING = "ending"
-    """A packet that closes the caller's side of the flow or the whole flow."""
-
-
-class TokenPacket(NamedTuple):
-    """The parts of a caller's packet that decide where it goes."""
-
-    kind: PacketKind
-    """What the packet does to its flow."""
-    token: int
-    """The token that the caller echoes; 0 before it has received one."""
-    flow_key: bytes
-    """The addresses and ports of both ends of the flow."""
-    retransmissions: int
-    """How often the caller sent the opening packet before this one."""
-    host: str
-    """The destination address."""
-    port: int
-    """The destination port."""
-    request_id: str = ""
-    """The id of the request that begins in this packet, or empty if the packet
-    shows none."""
-
-
-class PacketCodec(NamedTuple):
-    """The fabric's packet layout, as functions."""
-
-    parse: Callable[[bytes], TokenPacket | None]
-    """Parses a datagram of the fabric; returns None if it is malformed."""
-    format_flow: Callable[[bytes], str]
-    """Returns both ends of a packet's flow as readable text."""
-    make_target_label: Callable[[_types.Target], bytes]
-    """Returns the label that names a target and precedes its packets."""
-    wrap_for_target: Callable[[bytes, int, bytes], bytes]
-    """Returns the datagram to a target, given a packet, a token and a label."""
-    make_reset: Callable[[bytes], tuple[bytes, tuple[str, int]]]
-    """Returns a reset for an opening packet and the address to send it to."""
-
-
 class TargetEndpoint(NamedTuple):
     """What the front needs to forward packets to the target of a token."""
 
@@ -82,33 +37,10 @@
     """The target's service."""
 
 
-class OpeningReport(NamedTuple):
-    """One decision about an opening packet, for logs and counters."""
-
-    flow: str
-    """Both ends of the flow as readable text."""
-    retransmissions: int
-    """How often the caller sent the opening packet before this one."""
-    route: str
-    """The name of the matched route, or empty."""
-    version: int
-    """The version of the deployment that the decision is based on."""
-    service: str
-    """The chosen service, or empty."""
-    target_id: _types.TargetId
-    """The chosen target, or empty."""
-    outcome: str
-    """The outcome of the placement, or the code of the refusal."""
-    placement: Placement
-    """The placement, with the figures that it is based on."""
-    held_ms: int = 0
-    """How long the packet was held here until a slot was free."""
-
-
 class _RoutedPacket(NamedTuple):
     """An opening packet with its route and service."""
 
-    packet: TokenPacket
+    packet: _token_packets.TokenPacket
     data: bytes
     route: _deployment.Route
     service: _types.ServiceName
@@ -118,28 +50,6 @@
 """The placement that is reported for a flow that matches no route."""
 
 
-class RequestReport(NamedTuple):
-    """The packet in which a request begins, for logs."""
-
-    request_id: str
-    """The id of the request."""
-    flow: str
-    """Both ends of the flow as readable text."""
-    target_id: _types.TargetId
-    """The flow's target, or empty if its token is unknown."""
-
-
-class FlowEndReport(NamedTuple):
-    """The end of a flow, for logs and histograms."""
-
-    flow: str
-    """Both ends of the flow as readable text."""
-    target_id: _types.TargetId
-    """The flow's target."""
-    open_ms: int
-    """The time since this instance saw the flow's first packet."""
-
-
 SendFunction = Callable[[bytes, tuple[str, int]], bool]
 """Sends a datagram; returns whether the operating system accepted it."""
 
@@ -158,14 +68,14 @@
 
     def __init__(
         self,
-        codec: PacketCodec,
+        codec: _token_packets.PacketCodec,
         placer: Placer,
         send: SendFunction,
         count: Callable[[str, str], None],
         observe: Callable[[str, float], None],
-        report_opening: Callable[[OpeningReport], None],
-        report_request: Callable[[RequestReport], None],
-        report_end: Callable[[FlowEndReport], None],
+        report_opening: Callable[[_token_reports.OpeningReport], None],
+        report_request: Callable[[_token_reports.RequestReport], None],
+        report_end: Callable[[_token_reports.FlowEndReport], None],
     ) -> None:
         """Creates a front without routes and targets.
 
@@ -227,13 +137,13 @@
         packet = self._codec.parse(data)
         if packet is None:
             self._count("dropped", _codes.DropCode.MALFORMED)
-        elif packet.kind == PacketKind.OPENING:
+        elif packet.kind == _token_packets.PacketKind.OPENING:
             self._open_flow(packet, data, now_ms)
         else:
             self._forward_by_token(packet, data, now_ms)
 
     def _forward_by_token(
-        self, packet: TokenPacket, data: bytes, now_ms: int
+        self, packet: _token_packets.TokenPacket, data: bytes, now_ms: int
     ) -> None:
         endpoint = self._endpoints.get(packet.token)
         if packet.request_id:
@@ -248,13 +158,13 @@
             self._count("dropped", _codes.DropCode.UNKNOWN_TARGET)
             return
         observations = self._placer.observations
-        if packet.kind == PacketKind.ENDING:
+        if packet.kind == _token_packets.PacketKind.ENDING:
             flow = observations.note_flow_end(
                 packet.flow_key, packet.token, now_ms
             )
             self._placer.update_flow_duration(endpoint.service, flow, now_ms)
             self._report_end(
-                FlowEndReport(
+                _token_reports.FlowEndReport(
                     self._codec.format_flow(data),
                     endpoint.target_id,
                     now_ms - flow.first_seen_ms,
@@ -269,15 +179,23 @@
                     "handshake_ms", now_ms - answered_flow.first_seen_ms
                 )
         self._send_to_target(data, packet.token, endpoint)
-        if packet.kind == PacketKind.ENDING and self._held_queues:
+        if (
+            packet.kind == _token_packets.PacketKind.ENDING
+            and self._held_queues
+        ):
             self.release_held_packets(now_ms)
 
     def _emit_request_report(
-        self, packet: TokenPacket, data: bytes, endpoint: TargetEndpoint | None
+        self,
+        packet: _token_packets.TokenPacket,
+        data: bytes,
+        endpoint: TargetEndpoint | None,
     ) -> None:
         target_id = "" if endpoint is None else endpoint.target_id
         flow = self._codec.format_flow(data)
-        self._report_request(RequestReport(packet.request_id, flow, target_id))
+        self._report_request(
+            _token_reports.RequestReport(packet.request_id, flow, target_id)
+        )
 
     def _send_to_target(
         self, data: bytes, token: int, endpoint: TargetEndpoint
@@ -294,7 +212,9 @@
         self.is_view_current = False
         self._held_queues.clear()
 
-    def _open_flow(self, packet: TokenPacket, data: bytes, now_ms: int) -> None:
+    def _open_flow(
+        self, packet: _token_packets.TokenPacket, data: bytes, now_ms: int
+    ) -> None:
         if not self.is_view_current:
             self._count("dropped", _codes.DropCode.STALE_VIEW)
             return
@@ -430,7 +350,7 @@
     ) -> None:
         assert self.routes is not None
         self._report_opening(
-            OpeningReport(
+            _token_reports.OpeningReport(
                 self._codec.format_flow(routed.data),
                 routed.packet.retransmissions,
                 routed.route.name,
@@ -445,7 +365,7 @@
 
     def _refuse(
         self,
-        packet: TokenPacket,
+        packet: _token_packets.TokenPacket,
         data: bytes,
         route_name: str,
         code: str,
@@ -458,7 +378,7 @@
         assert self.routes is not None
         self._count("refused", code)
         self._report_opening(
-            OpeningReport(
+            _token_reports.OpeningReport(
                 self._codec.format_flow(data),
                 packet.retransmissions,
                 route_name,
--- a/bluebelltide/fronts/tests/test_token_front.py
+++ b/bluebelltide/fronts/tests/test_token_front.py
@@ -13,6 +13,7 @@
 from bluebelltide.catalogue import _deployment
 from bluebelltide.catalogue.tests import test_deployment
 from bluebelltide.fronts import _token_front
+from bluebelltide.fronts import _token_packets
 from bluebelltide.placement import create_placer
 from bluebelltide.placement.tests import test_placer
 
@@ -20,14 +21,14 @@
 CALLER = ("100.64.0.1", 8000)
 
 
-def parse(data: bytes) -> _token_front.TokenPacket | None:
+def parse(data: bytes) -> _token_packets.TokenPacket | None:
     """Parses a test packet: kind, retransmissions, port, token and flow."""
     parts = data.split(b"|")
     if len(parts) != 5:
         return None
     kind, retransmissions, port, token, key = parts
-    return _token_front.TokenPacket(
-        _token_front.PacketKind(kind.decode()),
+    return _token_packets.TokenPacket(
+        _token_packets.PacketKind(kind.decode()),
         int(token),
         key,
         int(retransmissions),
@@ -46,7 +47,7 @@
     return f"{kind}|{retransmissions}|{port}|{token}|{key}".encode()
 
 
-CODEC = _token_front.PacketCodec(
+CODEC = _token_packets.PacketCodec(
     parse,
     lambda data: data.decode(),
     lambda target: target.target_id.encode(),
