--- a/bluebelltide/ctl/_log_files.py
+++ b/bluebelltide/_log_lines.py
@@ -1,17 +1,42 @@
-"""Reads collected logs of direct deployments."""
+"""Structured log lines, as read from collected logs."""
 
 from collections.abc import Iterable, Iterator
 import pathlib
+from typing import NamedTuple
 
 import msgspec
 
 from bluebelltide import _exceptions
-from bluebelltide.ctl import _explain
 
 _decode_json = msgspec.json.Decoder().decode
 
+FieldValue = str | int | float | bool | list[object] | dict[str, object] | None
 
-def parse_line(text: str, process: str) -> _explain.LogLine | None:
+
+class LogLine(NamedTuple):
+    """One structured line of a process's log."""
+
+    time_ms: int
+    """The time of day at which the line was written."""
+    process: str
+    """The process that wrote it."""
+    event: str
+    """The event."""
+    fields: dict[str, FieldValue]
+    """The other fields of the line."""
+
+    def text(self, name: str) -> str:
+        """Returns a field as text, empty if it is missing."""
+        value = self.fields.get(name)
+        return "" if value is None else str(value)
+
+    def number(self, name: str) -> int:
+        """Returns a field as a number, 0 if it is missing."""
+        value = self.fields.get(name)
+        return int(value) if isinstance(value, int | float) else 0
+
+
+def parse_line(text: str, process: str) -> LogLine | None:
     """Parses a line of a log.
 
     Args:
@@ -35,10 +60,10 @@
         return None
     words = prefix.split()
     name = words[-1].strip(":|[]") if words else process
-    return _explain.LogLine(time_ms, name, event, fields)
+    return LogLine(time_ms, name, event, fields)
 
 
-def read_logs(paths: Iterable[str]) -> Iterator[_explain.LogLine]:
+def read_logs(paths: Iterable[str]) -> Iterator[LogLine]:
     """Reads the structured lines of files, each named after its process.
 
     Args:
--- a/bluebelltide/bench/__main__.py
+++ b/bluebelltide/bench/__main__.py
@@ -12,6 +12,7 @@
 
 import bluebelltide
 from bluebelltide import _exceptions
+from bluebelltide import _log_lines
 from bluebelltide import _program
 from bluebelltide import _types
 from bluebelltide import catalogue
@@ -21,6 +22,8 @@
 from bluebelltide.bench import _flows
 from bluebelltide.bench import _load
 from bluebelltide.bench import _overload
+from bluebelltide.bench import _report
+from bluebelltide.bench import _report_plot
 from bluebelltide.bench import _scale
 from bluebelltide.bench import _slopes
 from bluebelltide.bench import _tokens
@@ -193,6 +196,29 @@
     return _program.EXIT_OK
 
 
+@app.command
+def report(*logs: str, write: str = "", plot: str = "") -> int:
+    """Make a page from the logs of a run of a direct deployment.
+
+    Args:
+        logs: Files with the logs of the processes, each named after one.
+        write: File to write; without it, the page is printed.
+        plot: Picture to write, for example report.svg; the page shows it.
+    """
+
+    def run() -> None:
+        summary = _report.summarise(_log_lines.read_logs(logs))
+        if plot:
+            _report_plot.write_plots(summary, plot)
+        page = _report.render(summary, plot)
+        if write:
+            pathlib.Path(write).write_text(page, encoding="utf-8")
+        else:
+            print(page)
+
+    return _program.run_and_report(run)
+
+
 @app.command
 def load(
     front: str,
--- a/bluebelltide/ctl/__main__.py
+++ b/bluebelltide/ctl/__main__.py
@@ -14,12 +14,12 @@
 
 import bluebelltide
 from bluebelltide import _exceptions
+from bluebelltide import _log_lines
 from bluebelltide import _program
 from bluebelltide import _tokens
 from bluebelltide import catalogue
 from bluebelltide.ctl import _client
 from bluebelltide.ctl import _explain
-from bluebelltide.ctl import _log_files
 from bluebelltide.ctl import _plan
 
 IN_FORCE_TIMEOUT_S = 9.0
@@ -485,7 +485,7 @@
     """
 
     def run() -> None:
-        lines = _log_files.read_logs(logs)
+        lines = _log_lines.read_logs(logs)
         if request:
             explanation = _explain.explain_request(lines, request)
         elif flow:
--- a/bluebelltide/ctl/_explain.py
+++ b/bluebelltide/ctl/_explain.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from bluebelltide import _codes
+from bluebelltide import _log_lines
 from bluebelltide.catalogue import _deployment
 from bluebelltide.placement import PlacementOutcome
 
@@ -19,36 +20,11 @@
 DECIDING_EVENTS = ("proposal_ended", "state_committed", "deployment_unreadable")
 """The events of a change besides its coming into force."""
 
-FieldValue = str | int | float | bool | list[object] | dict[str, object] | None
-
-
-class LogLine(NamedTuple):
-    """One structured line of a process's log."""
-
-    time_ms: int
-    """The time of day at which the line was written."""
-    process: str
-    """The process that wrote it."""
-    event: str
-    """The event."""
-    fields: dict[str, FieldValue]
-    """The other fields of the line."""
-
-    def text(self, name: str) -> str:
-        """Returns a field as text, empty if it is missing."""
-        value = self.fields.get(name)
-        return "" if value is None else str(value)
-
-    def number(self, name: str) -> int:
-        """Returns a field as a number, 0 if it is missing."""
-        value = self.fields.get(name)
-        return int(value) if isinstance(value, int | float) else 0
-
 
 class Explanation(NamedTuple):
     """What the logs tell of a subject."""
 
-    chain: tuple[LogLine, ...]
+    chain: tuple[_log_lines.LogLine, ...]
     """The subject's lines, in the order of time."""
     findings: tuple[str, ...]
     """What follows from them, in the order in which to read it."""
@@ -57,9 +33,9 @@
 class _Evidence(NamedTuple):
     """What a rule sees."""
 
-    chain: Sequence[LogLine]
+    chain: Sequence[_log_lines.LogLine]
     """The lines of one flow."""
-    context: Sequence[LogLine]
+    context: Sequence[_log_lines.LogLine]
     """The lines of all processes around its time."""
 
     @property
@@ -74,7 +50,7 @@
 
 
 def explain_request(
-    lines: Iterable[LogLine], request_id: str
+    lines: Iterable[_log_lines.LogLine], request_id: str
 ) -> Explanation | None:
     """Explains a request.
 
@@ -92,7 +68,9 @@
     return None
 
 
-def explain_flow(lines: Iterable[LogLine], flow: str) -> Explanation | None:
+def explain_flow(
+    lines: Iterable[_log_lines.LogLine], flow: str
+) -> Explanation | None:
     """Explains the last flow between two addresses and ports.
 
     Args:
@@ -108,7 +86,7 @@
 
 
 def explain_change(
-    lines: Iterable[LogLine], version: int
+    lines: Iterable[_log_lines.LogLine], version: int
 ) -> Explanation | None:
     """Explains when a version of the deployment was accepted and in force.
 
@@ -131,12 +109,12 @@
     return Explanation(tuple(chain), tuple(findings))
 
 
-def _sort(lines: Iterable[LogLine]) -> list[LogLine]:
+def _sort(lines: Iterable[_log_lines.LogLine]) -> list[_log_lines.LogLine]:
     return sorted(lines, key=lambda line: line.time_ms)
 
 
 def _explain_flow(
-    ordered: Sequence[LogLine], flow: str, time_ms: int
+    ordered: Sequence[_log_lines.LogLine], flow: str, time_ms: int
 ) -> Explanation:
     chain = _select_flow(ordered, flow, time_ms)
     from_ms = chain[0].time_ms - CONTEXT_MS
@@ -148,13 +126,13 @@
 
 
 def _select_flow(
-    ordered: Sequence[LogLine], flow: str, time_ms: int
-) -> list[LogLine]:
+    ordered: Sequence[_log_lines.LogLine], flow: str, time_ms: int
+) -> list[_log_lines.LogLine]:
     """Returns the lines of one flow.
 
     A port is used again by later flows; a first transmission begins a new one.
     """
-    flows: list[list[LogLine]] = []
+    flows: list[list[_log_lines.LogLine]] = []
     for line in ordered:
         if line.text("flow") != flow:
             continue
@@ -188,7 +166,9 @@
             )
 
 
-def _find_newer_version(evidence: _Evidence, refusal: LogLine) -> Iterator[str]:
+def _find_newer_version(
+    evidence: _Evidence, refusal: _log_lines.LogLine
+) -> Iterator[str]:
     newer = [
         line
         for line in evidence.context
@@ -205,7 +185,9 @@
         yield "no instance used a later version: nobody serves the address"
 
 
-def _find_lost_targets(evidence: _Evidence, refusal: LogLine) -> Iterator[str]:
+def _find_lost_targets(
+    evidence: _Evidence, refusal: _log_lines.LogLine
+) -> Iterator[str]:
     events = ("target_left", "target_expired", "target_not_confirmed")
     gone = {
         line.text("target")
@@ -307,13 +289,13 @@
 )
 
 
-def _is_about_deployment(line: LogLine) -> bool:
+def _is_about_deployment(line: _log_lines.LogLine) -> bool:
     if line.event in DECIDING_EVENTS:
         return line.text("key") in ("", _deployment.DEPLOYMENT_KEY)
     return line.event == "deployment_in_force"
 
 
-def _find_proposals(chain: Sequence[LogLine]) -> Iterator[str]:
+def _find_proposals(chain: Sequence[_log_lines.LogLine]) -> Iterator[str]:
     for line in chain:
         if line.event == "proposal_ended":
             yield (
@@ -325,7 +307,9 @@
 
 
 def _find_force(
-    ordered: Sequence[LogLine], chain: Sequence[LogLine], version: int
+    ordered: Sequence[_log_lines.LogLine],
+    chain: Sequence[_log_lines.LogLine],
+    version: int,
 ) -> Iterator[str]:
     committed = [one for one in chain if one.event == "state_committed"]
     used = {
--- a/bluebelltide/ctl/tests/test_explain.py
+++ b/bluebelltide/ctl/tests/test_explain.py
@@ -5,20 +5,20 @@
 
 import pytest
 
+from bluebelltide import _log_lines
 from bluebelltide.ctl import __main__ as ctl
 from bluebelltide.ctl import _explain
-from bluebelltide.ctl import _log_files
 
 FLOW = "100.66.0.14:1296>198.18.0.1:8443"
 
 
 def line(
-    time_ms: int, process: str, event: str, **fields: _explain.FieldValue
-) -> _explain.LogLine:
-    return _explain.LogLine(time_ms, process, event, fields)
+    time_ms: int, process: str, event: str, **fields: _log_lines.FieldValue
+) -> _log_lines.LogLine:
+    return _log_lines.LogLine(time_ms, process, event, fields)
 
 
-def opening(time_ms: int, outcome: str, target: str = "") -> _explain.LogLine:
+def opening(time_ms: int, outcome: str, target: str = "") -> _log_lines.LogLine:
     return line(
         time_ms,
         "entry-1",
@@ -109,7 +109,7 @@
     ],
 )
 def test_a_refusal_leads_to_its_reason(
-    outcome: str, others: list[_explain.LogLine], expected: str
+    outcome: str, others: list[_log_lines.LogLine], expected: str
 ) -> None:
     explanation = _explain.explain_flow([*others, opening(0, outcome)], FLOW)
     assert explanation is not None
@@ -185,12 +185,12 @@
     ],
 )
 def test_other_lines_of_a_log_are_passed_over(text: str) -> None:
-    assert _log_files.parse_line(text, "entry-1") is None
+    assert _log_lines.parse_line(text, "entry-1") is None
 
 
 def test_the_prefix_of_a_collector_names_the_process() -> None:
     text = '{"event": "started", "unix_ms": 1, "address": "a"}'
-    parsed = _log_files.parse_line(f"12.5 entry-2: {text}", "all")
+    parsed = _log_lines.parse_line(f"12.5 entry-2: {text}", "all")
     assert parsed == line(1, "entry-2", "started", address="a")
 
 
