--- a/bluebelltide/_http1.py
+++ b/bluebelltide/_http1.py
@@ -13,6 +13,7 @@
 import h11
 import logbook
 
+from bluebelltide import _accepting
 from bluebelltide import _types
 
 MAXIMUM_BODY_BYTES = 2 * 1024 * 1024
@@ -222,28 +223,39 @@
                 # Unlike accepting, waiting may be cancelled without the loss
                 # of a connection.
                 await anyio.wait_readable(self._listener)
-                self._accept_all(connections)
+                if not self._accept_all(connections):
+                    await anyio.sleep(_accepting.RETRY_DELAY_S)
         finally:
             # Connections that were not accepted yet would be reset.
             self._accept_all(connections)
             self._listener.close()
 
-    def _accept_all(self, connections: anyio.abc.TaskGroup) -> None:
+    def _accept_all(self, connections: anyio.abc.TaskGroup) -> bool:
+        """Accepts the connections that wait; returns False after an error."""
         while True:
             try:
                 connection, _ = self._listener.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as error:
-                # The peer gave up, or there are too many open files.
                 _LOG.warning("a connection was not accepted: {!r}", error)
-                return
+                return False
             connections.start_soon(self._serve_socket, connection)
 
     async def _serve_socket(self, connection: socket.socket) -> None:
-        connection.setblocking(False)
-        stream = await anyio.abc.SocketStream.from_socket(connection)
-        await self._serve_connection(stream)
+        """Serves an accepted connection; an error ends only this one."""
+        try:
+            connection.setblocking(False)
+            stream = await anyio.abc.SocketStream.from_socket(connection)
+        except (OSError, ValueError) as error:
+            # The peer reset the connection before it was accepted.
+            _LOG.debug("connection ended: {!r}", error)
+            connection.close()
+            return
+        try:
+            await self._serve_connection(stream)
+        except Exception as error:
+            _LOG.exception("a connection failed: {!r}", error)
 
     async def _serve_connection(self, stream: anyio.abc.ByteStream) -> None:
         """Serves the requests of one connection, one after the other."""
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -10,9 +10,11 @@
 import anyio
 import anyio.abc
 
+from bluebelltide import _accepting
 from bluebelltide import _batch_socket
 from bluebelltide import _clock
 from bluebelltide import _exceptions
+from bluebelltide import _guard
 from bluebelltide import _metrics
 from bluebelltide import _types
 from bluebelltide._events import events
@@ -129,7 +131,9 @@
         listener = await anyio.create_tcp_listener(
             local_host=address.host, local_port=address.port
         )
-        tasks.start_soon(listener.serve, self._serve_call)
+        tasks.start_soon(
+            _accepting.accept_forever, listener, self._serve_call, tasks
+        )
         tasks.start_soon(self._poll_forever)
         tasks.start_soon(self._confirm_and_plan_forever)
         tasks.start_soon(self._save_for_restart_forever)
@@ -197,11 +201,12 @@
         assert self._publisher is not None
         while True:
             await anyio.sleep(SAVE_INTERVAL_MS / 1000)
-            entry_hosts = self._publisher.entry_hosts()
-            await self._saved_targets.save_if_changed(entry_hosts)
-            state = self.deployment_replica.unsaved_deployment()
-            if state is not None:
-                await self._save_deployment(state)
+            with _guard.log_errors("saving for a restart"):
+                entry_hosts = self._publisher.entry_hosts()
+                await self._saved_targets.save_if_changed(entry_hosts)
+                state = self.deployment_replica.unsaved_deployment()
+                if state is not None:
+                    await self._save_deployment(state)
 
     async def _save_deployment(self, state: _register.RegisterState) -> None:
         try:
@@ -315,7 +320,8 @@
                 self._settings.bind_host,
             )
             if isinstance(answer, _calls.Fetched):
-                self.deployment_replica.learn(key, answer.state)
+                with _guard.log_errors("learning a state"):
+                    self.deployment_replica.learn(key, answer.state)
         finally:
             self._keys_being_fetched.discard(key)
 
@@ -330,9 +336,10 @@
     async def _poll_forever(self) -> None:
         assert self._replica_poller is not None
         while True:
-            for host in self._replica_poller.hosts(_clock.now_ms()):
-                self._send_poll(host)
-            self._expire_targets()
+            with _guard.log_errors("a poll"):
+                for host in self._replica_poller.hosts(_clock.now_ms()):
+                    self._send_poll(host)
+                self._expire_targets()
             await anyio.sleep(POLL_INTERVAL_MS / 1000)
 
     def _expire_targets(self) -> None:
@@ -375,9 +382,10 @@
 
     async def _confirm_and_plan_forever(self) -> None:
         while True:
-            for key in self.deployment_replica.unconfirmed_keys():
-                await self.deployment_replica.confirm(key)
-            await self._plan_voters()
+            with _guard.log_errors("confirming and planning"):
+                for key in self.deployment_replica.unconfirmed_keys():
+                    await self.deployment_replica.confirm(key)
+                await self._plan_voters()
             interval_ms = PLAN_INTERVAL_MS
             if self.deployment_replica.unconfirmed_keys():
                 # After a restart this replica does not serve its accepted
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -15,6 +15,7 @@
 from bluebelltide import _batch_socket
 from bluebelltide import _clock
 from bluebelltide import _exceptions
+from bluebelltide import _guard
 from bluebelltide import _http1
 from bluebelltide import _metrics
 from bluebelltide import _types
@@ -264,7 +265,7 @@
             self._offering_replica = replica
         if not self._is_fetching and self._tasks is not None:
             self._is_fetching = True
-            self._tasks.start_soon(self._fetch_deployment)
+            self._tasks.start_soon(self._fetch_guarded)
 
     def _apply_targets(self) -> None:
         known, accepting = _token_front.index_targets_by_token(
@@ -280,6 +281,10 @@
         routes = self._front.routes
         return -1 if routes is None else routes.deployment.version
 
+    async def _fetch_guarded(self) -> None:
+        with _guard.log_errors("fetching the deployment"):
+            await self._fetch_deployment()
+
     async def _fetch_deployment(self) -> None:
         """Fetches and applies the newest deployment that a replica has.
 
@@ -347,14 +352,16 @@
     async def _poll_replicas_forever(self) -> None:
         interval_ms = STARTING_POLL_INTERVAL_MS
         while not self._has_routes_and_targets:
-            for host in self._replica_poller.hosts(_clock.now_ms()):
-                self._send_poll(host)
+            with _guard.log_errors("a poll"):
+                for host in self._replica_poller.hosts(_clock.now_ms()):
+                    self._send_poll(host)
             await anyio.sleep(interval_ms * random.uniform(0.75, 1.25) / 1000)
             interval_ms = min(2 * interval_ms, STARTING_POLL_LIMIT_MS)
         while True:
-            next_host = self._replica_poller.next_host(_clock.now_ms())
-            if next_host is not None:
-                self._send_poll(next_host)
+            with _guard.log_errors("a poll"):
+                next_host = self._replica_poller.next_host(_clock.now_ms())
+                if next_host is not None:
+                    self._send_poll(next_host)
             await anyio.sleep(self._replica_poller.interval_ms / 1000)
 
     async def _maintain_forever(self) -> None:
@@ -362,11 +369,12 @@
         expired_ms = 0
         while True:
             await anyio.sleep(self._reporter.next_wait_ms() / 1000)
-            self._check_for_pause()
             now_ms = _clock.now_ms()
-            if now_ms - expired_ms >= EXPIRY_INTERVAL_MS:
-                expired_ms = now_ms
-                self._placer.observations.check_overdue_answers(now_ms)
-                self._placer.observations.expire_idle_flows(now_ms)
-            self._front.release_held_packets(now_ms)
-            self._reporter.send_due_reports(now_ms)
+            with _guard.log_errors("maintenance"):
+                self._check_for_pause()
+                if now_ms - expired_ms >= EXPIRY_INTERVAL_MS:
+                    expired_ms = now_ms
+                    self._placer.observations.check_overdue_answers(now_ms)
+                    self._placer.observations.expire_idle_flows(now_ms)
+                self._front.release_held_packets(now_ms)
+                self._reporter.send_due_reports(now_ms)
--- a/bluebelltide/entry/tests/test_direct_service.py
+++ b/bluebelltide/entry/tests/test_direct_service.py
@@ -1,5 +1,6 @@
 """Tests of an entry instance of a direct deployment."""
 
+import anyio
 import pytest
 
 from bluebelltide import _metrics
@@ -101,3 +102,30 @@
     receive_record("new", 9, False, now_ms=_directory.TOMBSTONE_MS + 1)
     live = entry._directory.live_targets()
     assert [target.target_id for target in live] == ["new"]
+
+
+@pytest.mark.parametrize(
+    "loop", ["_maintain_forever", "_poll_replicas_forever"]
+)
+def test_an_unexpected_error_costs_one_round_of_a_loop(
+    loop: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry = make_entry()
+    rounds: list[int] = []
+
+    def fail(now_ms: int) -> None:
+        rounds.append(now_ms)
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(entry._reporter, "send_due_reports", fail)
+    monkeypatch.setattr(entry._replica_poller, "hosts", fail)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(getattr(entry, loop))
+            with anyio.fail_after(5):
+                while len(rounds) < 3:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
--- a/bluebelltide/fronts/_tcp.py
+++ b/bluebelltide/fronts/_tcp.py
@@ -17,6 +17,7 @@
 import anyio.abc
 import anyio.lowlevel
 
+from bluebelltide import _accepting
 from bluebelltide import _clock
 from bluebelltide import _codes
 from bluebelltide import _metrics
@@ -102,7 +103,7 @@
             listener: The socket that callers connect to.
             tasks: Runs the flows, which continue after `serve` is cancelled.
         """
-        await listener.serve(self._serve_flow, tasks)
+        await _accepting.accept_forever(listener, self._serve_flow, tasks)
 
     def perform(self, actions: list[admission.Action]) -> None:
         """Applies the decisions of admission to the flows."""
