--- a/bluebelltide/_accepting.py
+++ b/bluebelltide/_accepting.py
@@ -10,6 +10,8 @@
 import anyio.abc
 import logbook
 
+from bluebelltide import _guard
+
 RETRY_DELAY_S = 0.1
 """How long to wait after a connection could not be accepted. The cause does not
 end at once."""
@@ -29,9 +31,14 @@
         handle: Serves and closes one connection.
         tasks: Runs the handlers.
     """
+
+    async def serve_connection(stream: anyio.abc.SocketStream) -> None:
+        with _guard.log_errors("a connection"):
+            await handle(stream)
+
     while True:
         try:
-            await listener.serve(handle, tasks)
+            await listener.serve(serve_connection, tasks)
         except* OSError as errors:
             _LOG.warning("a connection was not accepted: {!r}", errors)
         await anyio.sleep(RETRY_DELAY_S)
--- a/bluebelltide/_udp.py
+++ b/bluebelltide/_udp.py
@@ -5,6 +5,7 @@
 import anyio
 import anyio.abc
 
+from bluebelltide import _guard
 from bluebelltide import _types
 
 
@@ -49,7 +50,8 @@
                 # The receiver of an earlier datagram refused it (ICMP error).
                 await anyio.sleep(0)
                 continue
-            await handle(data)
+            with _guard.log_errors("a datagram"):
+                await handle(data)
 
     async def close(self) -> None:
         """Closes the socket."""
--- a/bluebelltide/control/_catalogue_replica.py
+++ b/bluebelltide/control/_catalogue_replica.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from bluebelltide import _exceptions
+from bluebelltide import _guard
 from bluebelltide import _metrics
 from bluebelltide import _settings
 from bluebelltide.catalogue import _register
@@ -382,7 +383,8 @@
                     acceptor_state.state.version > known.version
                     and self.is_voter
                 ):
-                    await self.read(key)
+                    with _guard.log_errors(f"repairing {key}"):
+                        await self.read(key)
             await anyio.sleep(REPAIR_INTERVAL_MS / 1000)
 
     async def change_voters(self, desired_voters: tuple[str, ...]) -> None:
--- a/bluebelltide/entry/_flows.py
+++ b/bluebelltide/entry/_flows.py
@@ -8,6 +8,7 @@
 
 from bluebelltide import _clock
 from bluebelltide import _codes
+from bluebelltide import _guard
 from bluebelltide import _metrics
 from bluebelltide import _settings
 from bluebelltide import _udp
@@ -120,11 +121,12 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            now_ms = _clock.now_ms()
-            self._relay_keys.refresh()
-            sends = self.engine.tick(self._make_engine_input(now_ms), now_ms)
-            await self._send(sends)
-            self._log_new_epoch()
+            with _guard.log_errors("a tick of flow routing"):
+                now_ms = _clock.now_ms()
+                self._relay_keys.refresh()
+                engine_input = self._make_engine_input(now_ms)
+                await self._send(self.engine.tick(engine_input, now_ms))
+                self._log_new_epoch()
             await anyio.sleep(TICK_MS / 1000)
 
     def _log_new_epoch(self) -> None:
--- a/bluebelltide/entry/_mesh.py
+++ b/bluebelltide/entry/_mesh.py
@@ -1,7 +1,6 @@
 """Links to the other entry instances: membership, targets and catalogue."""
 
 from collections.abc import Awaitable, Callable
-import contextlib
 import time
 
 import anyio
@@ -9,6 +8,7 @@
 import logbook
 
 from bluebelltide import _clock
+from bluebelltide import _guard
 from bluebelltide import _metrics
 from bluebelltide import _settings
 from bluebelltide import _types
@@ -285,7 +285,8 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            await self._perform_actions(self.swim.tick(_clock.now_ms()))
+            with _guard.log_errors("failure detection"):
+                await self._perform_actions(self.swim.tick(_clock.now_ms()))
             await anyio.sleep(TICK_MS / 1000)
 
     async def _send_target_updates_forever(self) -> None:
@@ -293,7 +294,8 @@
             interval_ms = renewal_gossip_interval_ms(len(self._outgoing_links))
             with anyio.move_on_after(interval_ms / 1000):
                 await self._wait_for_target_change()
-            await self.send_target_updates()
+            with _guard.log_errors("sending targets"):
+                await self.send_target_updates()
 
     async def _wait_for_target_change(self) -> None:
         while not self._registry.has_pending_changes():
@@ -317,5 +319,5 @@
             links = [link for _, link in sorted(self._outgoing_links.items())]
             if links:
                 index += 1
-                with contextlib.suppress(OSError):
+                with _guard.log_errors("sending a summary"):
                     await links[index % len(links)].send(self._summary())
--- a/bluebelltide/entry/_service.py
+++ b/bluebelltide/entry/_service.py
@@ -9,6 +9,7 @@
 from bluebelltide import _clock
 from bluebelltide import _codec
 from bluebelltide import _exceptions
+from bluebelltide import _guard
 from bluebelltide import _http
 from bluebelltide import _metrics
 from bluebelltide import _program
@@ -219,20 +220,25 @@
         while True:
             await self.mesh.catalogue_changed.wait()
             self.mesh.catalogue_changed = anyio.Event()
-            await self.front_controller.apply_catalogue()
-            self._update_all_targets()
-            await self._save_catalogue()
-            versions = {
-                key: v.version for key, v in self.view.versioned_entries.items()
-            }
-            changed_versions = {
-                key: version
-                for key, version in versions.items()
-                if self._reported_versions.get(key) != version
-            }
-            self._reported_versions = versions
-            for link in list(self._control_links):
-                await self._report_versions(link, changed_versions)
+            with _guard.log_errors("applying the catalogue"):
+                await self.front_controller.apply_catalogue()
+                self._update_all_targets()
+                await self._save_catalogue()
+                await self._report_changed_versions()
+
+    async def _report_changed_versions(self) -> None:
+        """Reports to the replicas which entries have come into force."""
+        versions = {
+            key: v.version for key, v in self.view.versioned_entries.items()
+        }
+        changed_versions = {
+            key: version
+            for key, version in versions.items()
+            if self._reported_versions.get(key) != version
+        }
+        self._reported_versions = versions
+        for link in list(self._control_links):
+            await self._report_versions(link, changed_versions)
 
     def _update_all_targets(self) -> None:
         self.front_controller.apply_targets(self.limit_share(), _clock.now_ms())
@@ -255,12 +261,13 @@
     async def _tick_forever(self) -> None:
         while True:
             await anyio.sleep(FRONT_TICK_MS / 1000)
-            self._update_readiness()
-            for target in self.registry.remove_expired(_clock.now_ms()):
-                _LOG.info("target {} expired", target.target_id)
-                self.metrics.count("target", "gone")
-            self._update_changed_targets()
-            self.front_controller.tick()
+            with _guard.log_errors("a tick of the instance"):
+                self._update_readiness()
+                for target in self.registry.remove_expired(_clock.now_ms()):
+                    _LOG.info("target {} expired", target.target_id)
+                    self.metrics.count("target", "gone")
+                self._update_changed_targets()
+                self.front_controller.tick()
 
     def _update_readiness(self) -> None:
         waited_ms = _clock.now_ms() - self._started_ms
@@ -294,13 +301,19 @@
         if self.entry_settings.data_folder is None:
             return
         folder = pathlib.Path(self.entry_settings.data_folder)
-        folder.mkdir(parents=True, exist_ok=True)
         data = _codec.encode(
             [_codec.to_plain(v) for v in self.view.versioned_entries.values()]
         )
-        await anyio.to_thread.run_sync(
-            _store.write_file_atomically, folder / CATALOGUE_FILE, data
-        )
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            await anyio.to_thread.run_sync(
+                _store.write_file_atomically, folder / CATALOGUE_FILE, data
+            )
+        except OSError as error:
+            # The next change is saved again. Until then a restart finds an
+            # older catalogue, which counts only once it is confirmed.
+            self.metrics.count("catalogue", "not_saved")
+            _LOG.warning("the catalogue is not saved: {}", error)
 
 
 async def serve_entry(settings: _settings.Settings) -> None:
--- a/bluebelltide/peers/_links.py
+++ b/bluebelltide/peers/_links.py
@@ -13,6 +13,7 @@
 
 from bluebelltide import _codes
 from bluebelltide import _exceptions
+from bluebelltide import _guard
 from bluebelltide import _metrics
 from bluebelltide import _settings
 from bluebelltide import _types
@@ -212,6 +213,7 @@
                 link = await _exchange_hello(connection, local_hello, metrics)
                 if link is not None:
                     delay_ms = INITIAL_RECONNECT_DELAY_MS
-                    await handler(link)
+                    with _guard.log_errors(f"the link to {address}"):
+                        await handler(link)
         await anyio.sleep(random.uniform(0.5, 1.0) * delay_ms / 1000)
         delay_ms = min(MAXIMUM_RECONNECT_DELAY_MS, 2 * delay_ms)
--- a/bluebelltide/peers/tests/test_links.py
+++ b/bluebelltide/peers/tests/test_links.py
@@ -160,6 +160,40 @@
     anyio.run(run)
 
 
+def test_an_unexpected_error_ends_one_link_which_is_opened_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_links, "INITIAL_RECONNECT_DELAY_MS", 10)
+
+    async def run() -> None:
+        metrics = _metrics.create_metrics(None, "test")
+        links: list[_links.Link] = []
+
+        async def serve(link: _links.Link) -> None:
+            async for _ in link.messages():
+                pass
+
+        async def fail(link: _links.Link) -> None:
+            links.append(link)
+            raise KeyError("unexpected")
+
+        async with (
+            _links.serve_links(
+                ANYWHERE, None, HELLO, metrics, serve
+            ) as address,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(
+                _links.maintain_link, address, None, HELLO, metrics, fail
+            )
+            with anyio.fail_after(5):
+                while len(links) < 2:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 def test_port_in_use_raises_its_error_code() -> None:
     async def run() -> None:
         metrics = _metrics.create_metrics(None, "test")
--- a/bluebelltide/tests/test_accepting.py
+++ b/bluebelltide/tests/test_accepting.py
@@ -63,3 +63,29 @@
         return listener.failures
 
     assert anyio.run(run) == 0
+
+
+def test_an_unexpected_error_ends_one_connection_only() -> None:
+    async def handle(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            if await stream.receive() == b"bad":
+                raise ZeroDivisionError
+            await stream.send(b"answer")
+
+    async def run() -> bytes:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_accepting.accept_forever, listener, handle, tasks)
+            bad = await anyio.connect_tcp("127.0.0.1", port)
+            good = await anyio.connect_tcp("127.0.0.1", port)
+            async with bad, good:
+                await bad.send(b"bad")
+                with pytest.raises(anyio.EndOfStream):
+                    await bad.receive()
+                await good.send(b"good")
+                answer = await good.receive()
+            tasks.cancel_scope.cancel()
+        return answer
+
+    assert anyio.run(run) == b"answer"
