--- a/bluebelltide/admission/_limits.py
+++ b/bluebelltide/admission/_limits.py
@@ -2,17 +2,15 @@
 
 A limit holds for a whole data centre. There is no central counter: each
 instance enforces `limit / live instances`, and the fabric spreads flows
-evenly. When an instance joins, the others reduce their shares at once, and
-the new instance waits `JOIN_DELAY_MS` before it uses its own share. When an
-instance dies, the others increase their shares only after it is declared
-dead. So while the instances' views differ, the sum of the shares exceeds the
-limit only if live instances declare each other dead.
+evenly. When an instance joins, the others reduce their shares as soon as gossip
+tells them, which may be shortly after it has begun to use its own. When an
+instance dies, the others increase their shares only after it is declared dead.
+So the sum of the shares exceeds the limit for a gossip round after a join, and
+while live instances declare each other dead.
 """
 
 from typing import NamedTuple
 
-JOIN_DELAY_MS = 2000
-"""How long a new instance waits for the others to reduce their shares."""
 BURST_MS = 250
 """The largest burst of a rate limit, as time at the limited rate."""
 
--- a/bluebelltide/bench/_fabric.py
+++ b/bluebelltide/bench/_fabric.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 import functools
 import random
-from typing import NamedTuple
 
 from bluebelltide import _types
 from bluebelltide import flows
@@ -49,15 +48,6 @@
 )
 
 
-class RoutedPacket(NamedTuple):
-    """A packet that passes through instances."""
-
-    packet: flows.Packet
-    """The fields that routing uses."""
-    first_instance: str
-    """The instance that the fabric chose."""
-
-
 class Instance:
     """The cores of one instance."""
 
--- a/bluebelltide/fronts/_tcp.py
+++ b/bluebelltide/fronts/_tcp.py
@@ -26,8 +26,6 @@
 
 CHUNK_BYTES = 65_536
 """Upper bound of one read from a socket."""
-IDLE_CHECK_MS = 500
-"""Shortest time between two checks for idle flows."""
 
 
 class _Flow:
--- a/bluebelltide/soak/_targets.py
+++ b/bluebelltide/soak/_targets.py
@@ -26,8 +26,6 @@
 """The mean time that a request takes."""
 RESPONSE_PACKETS = 3
 """The number of packets of an answer."""
-RETURN_DELAY_S = 0.002
-"""How long an answer takes to reach a caller."""
 LEAVE_DELAY_S = 4.0
 """How long a target serves after its drain was acknowledged."""
 MAXIMUM_ENDED_FLOWS = 10_000
