--- a/bluebelltide/entry/_load_reporter.py
+++ b/bluebelltide/entry/_load_reporter.py
@@ -28,14 +28,16 @@
 SPARSE_LOCAL_REPORT_INTERVAL_MS = 100
 """Minimum time between reports to local peers in a large deployment, where one
 instance sees few flows."""
-CALM_LOCAL_REPORT_INTERVAL_MS = 400
-"""The same while few slots are busy, but for reports of an ejected target."""
-CALM_UTILISATION = 0.4
-"""The share of busy slots below which an instance reports less often. Nearly
-every target has a free slot then, whatever other instances have placed."""
 SPARSE_REMOTE_REPORT_INTERVAL_MS = 400
 """Minimum time between reports to remote peers in a large deployment; a report
 is used for longer."""
+CALM_UTILISATION = 0.4
+"""The share of busy slots below which an instance of a large deployment reports
+less often. Nearly every target has a free slot then, whatever other instances
+have placed."""
+CALM_LOCAL_REPORT_INTERVAL_MS = 400
+"""Minimum time between reports to local peers while few slots are busy. News of
+an ejected target does not wait for it."""
 HELD_PACKET_CHECK_INTERVAL_MS = 10
 """Time between two checks whether a slot is free for a held packet."""
 
@@ -47,9 +49,6 @@
     def held_packet_count(self) -> int:
         """How many opening packets are held."""
 
-    def release_held_packets(self, now_ms: int) -> None:
-        """Releases the packets for which there is a slot."""
-
 
 SendFunction = Callable[[str, bytes], None]
 """Sends a datagram to the instance on a machine."""
