--- a/bluebelltide/membership/_peer_ring.py
+++ b/bluebelltide/membership/_peer_ring.py
@@ -15,8 +15,9 @@
 import hashlib
 from typing import NamedTuple
 
-FULL_MESH_INSTANCES = 12
-"""Up to this number of instances each one reports to all others."""
+FULL_MESH_INSTANCES = 20
+"""Up to this number of instances each one reports to all others. A small
+deployment that is rolled or extended must not change its mode meanwhile."""
 LOCAL_PEERS = 4
 """How many instances of its data centre an instance reports to otherwise."""
 LOCAL_DISTANCES = (1, 3, 9, 27, 2, 5)
--- a/bluebelltide/membership/tests/test_peer_ring.py
+++ b/bluebelltide/membership/tests/test_peer_ring.py
@@ -49,8 +49,12 @@
     assert reached == local_hosts
 
 
-def test_in_a_small_deployment_every_instance_reports_to_every_other() -> None:
-    hosts = make_hosts(9, 4)
+@pytest.mark.parametrize("instances", [9, 13, 20])
+def test_in_a_small_deployment_every_instance_reports_to_every_other(
+    instances: int,
+) -> None:
+    """A deployment of 9 that is doubled for a while stays a full mesh."""
+    hosts = make_hosts(instances, 4)
     ring = _peer_ring.PeerRing(hosts)
     for host, data_centre in hosts.items():
         peers = ring.peers_of(host, data_centre)
