--- a/bluebelltide/control/_deployment_replica.py
+++ b/bluebelltide/control/_deployment_replica.py
@@ -22,12 +22,19 @@
 from bluebelltide.catalogue import _register
 from bluebelltide.catalogue import _store
 from bluebelltide.control import _proposals
+from bluebelltide.control import _read_tally
+from bluebelltide.control import _shared_run
 from bluebelltide.control import _voters
 from bluebelltide.messaging import _calls
 
 PROPOSAL_TIMEOUT_MS = 900
 """How long a proposal may take. Operators try another replica after 1 s, so a
 proposal must end earlier."""
+QUERY_ATTEMPTS = 3
+"""How many queries a read makes before it proposes."""
+QUERY_INTERVAL_MS = 20
+"""The time between two queries of a read, in which a change that is in
+progress usually ends."""
 FIRST_NONCE = "0"
 """Second part of the identities that replicas get at the first start of a
 deployment."""
@@ -104,6 +111,9 @@
         self._saved_deployment = _register.RegisterState()
         self._write_lock = anyio.Lock()
         self._proposal_lock = anyio.Lock()
+        self._deployment_read = _shared_run.SharedRun(
+            lambda: self.confirm(_deployment.DEPLOYMENT_KEY)
+        )
         self._tasks: anyio.abc.TaskGroup | None = None
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -367,46 +377,69 @@
         return UNCERTAIN
 
     async def read(self) -> Outcome:
-        """Reads the newest document through a quorum."""
+        """Reads the newest document through a quorum.
+
+        Only a read that several queries leave open makes a proposal, and it
+        shares it with the others: proposals for the same key compete.
+        """
         key = _deployment.DEPLOYMENT_KEY
-        if await self._is_committed_state_newest(key):
-            return Outcome(True, self.committed_state(key))
-        return await self._propose(key, _register.apply_read)
+        with anyio.move_on_after(PROPOSAL_TIMEOUT_MS / 1000):
+            for _ in range(QUERY_ATTEMPTS):
+                if await self._confirm_by_query(key):
+                    return Outcome(True, self.committed_state(key))
+                await anyio.sleep(QUERY_INTERVAL_MS / 1000)
+            return await self._deployment_read.get()
+        return UNCERTAIN
 
     async def confirm(self, key: str) -> Outcome:
         """Reads a state through a proposal, which repairs voters that lag."""
         return await self._propose(key, _register.apply_read)
 
-    async def _is_committed_state_newest(self, key: str) -> bool:
-        """Returns whether a quorum confirms that no newer state is committed.
+    async def _confirm_by_query(self, key: str) -> bool:
+        """Asks the voters what they hold, and learns what is committed.
 
-        If a quorum has accepted the same ballot, the state of that ballot is
-        committed. A quorum that had accepted a newer state would share a
-        voter with this one, which would report the newer version.
+        Args:
+            key: The register's key.
+
+        Returns:
+            Whether the committed state known here is the newest one.
         """
         voters = self.voters
         if voters is None:
             return False
-        known = self.committed_state(key)
-        voters_by_ballot: dict[_register.Ballot, set[str]] = {}
+        known_version = self.committed_state(key).version
+        tally = _read_tally.ReadTally(voters, known_version)
         request = _calls.Query(key)
         with anyio.move_on_after(_proposals.ATTEMPT_TIMEOUT_MS / 1000):
             replies = self._call_voters(voters.all_voters(), request)
             async for identity, answer in replies:
                 if not isinstance(answer, _calls.QueryAnswer):
                     continue
-                if answer.voters_version > voters.version:
-                    return False
-                if answer.version != known.version:
-                    return False
-                agreeing = voters_by_ballot.setdefault(
-                    answer.accepted_ballot, set()
-                )
-                agreeing.add(identity)
-                if voters.is_quorum(agreeing):
+                finding = tally.add(identity, answer)
+                if finding is _read_tally.Finding.KNOWN_IS_NEWEST:
                     return True
+                if finding is _read_tally.Finding.BALLOT_IS_COMMITTED:
+                    return self._learn_accepted(key, tally.committed_ballot)
+                if finding is _read_tally.Finding.UNDECIDED:
+                    return False
         return False
 
+    def _learn_accepted(self, key: str, ballot: _register.Ballot) -> bool:
+        """Learns the state of a committed ballot if this replica accepted it.
+
+        Args:
+            key: The register's key.
+            ballot: A ballot that a quorum has accepted.
+
+        Returns:
+            Whether this replica holds the state.
+        """
+        accepted = self._acceptor_states.get(key, _register.AcceptorState())
+        if accepted.accepted_ballot != ballot:
+            return False
+        self.learn(key, accepted.state)
+        return True
+
     async def _propose(
         self, key: str, apply_function: _register.ApplyFunction
     ) -> Outcome:
--- a/bluebelltide/control/tests/test_concurrent_reads.py
+++ b/bluebelltide/control/tests/test_concurrent_reads.py
@@ -15,10 +15,36 @@
 CHANGES = 10
 CHANGE_INTERVAL_S = 0.1
 READERS = 20
+SCHEDULE_S = 5
+"""How long a random schedule lasts, in virtual time."""
 DELAY_S = (0.001, 0.006)
 """The range of the time that a call takes each way."""
 
 
+def delay_calls(
+    network: test_deployment_replica.Network,
+    generator: random.Random,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Gives each call between replicas a random delay."""
+
+    async def call_with_delay(
+        address: _types.Address,
+        receiver: str,
+        request: _calls.Request,
+        call_timeout_ms: int,
+        local_host: str = "",
+    ) -> _calls.Answer | None:
+        await anyio.sleep(generator.uniform(*DELAY_S))
+        answer = await network.call(
+            address, receiver, request, call_timeout_ms, local_host
+        )
+        await anyio.sleep(generator.uniform(*DELAY_S))
+        return answer
+
+    monkeypatch.setattr(_calls, "call", call_with_delay)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_reads_at_one_replica_and_changes_at_another_all_succeed(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, seed: int
@@ -36,21 +62,7 @@
                 _deployment_replica, "PROPOSAL_TIMEOUT_MS", timeout_ms
             )
 
-            async def call_with_delay(
-                address: _types.Address,
-                receiver: str,
-                request: _calls.Request,
-                call_timeout_ms: int,
-                local_host: str = "",
-            ) -> _calls.Answer | None:
-                await anyio.sleep(generator.uniform(*DELAY_S))
-                answer = await network.call(
-                    address, receiver, request, call_timeout_ms, local_host
-                )
-                await anyio.sleep(generator.uniform(*DELAY_S))
-                return answer
-
-            monkeypatch.setattr(_calls, "call", call_with_delay)
+            delay_calls(network, generator, monkeypatch)
             first, second, _ = network.replicas.values()
 
             async def change(version: int) -> None:
@@ -73,3 +85,63 @@
 
     virtual_time.run_in_virtual_time(run, monkeypatch)
     assert uncertain == []
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_read_returns_less_than_was_certain_before_it_began(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Reads and changes at all replicas, one of which is cut off at times."""
+    generator = random.Random(seed)
+    certain_versions = [0]
+    stale_reads: list[str] = []
+    certain_reads = 0
+
+    async def run() -> None:
+        async with test_deployment_replica.open_network(
+            tmp_path, monkeypatch
+        ) as network:
+            delay_calls(network, generator, monkeypatch)
+            replicas = list(network.replicas.values())
+
+            async def change_forever() -> None:
+                while True:
+                    version = max(certain_versions) + generator.randint(1, 3)
+                    replica = generator.choice(replicas)
+                    outcome = await replica.put(version, b"%d" % version)
+                    if outcome.is_certain:
+                        certain_versions.append(outcome.state.version)
+                    await anyio.sleep(generator.uniform(0, CHANGE_INTERVAL_S))
+
+            async def read_forever() -> None:
+                nonlocal certain_reads
+                while True:
+                    expected = max(certain_versions)
+                    outcome = await generator.choice(replicas).read()
+                    if outcome.is_certain:
+                        certain_reads += 1
+                        found = outcome.state.version
+                        if found < expected:
+                            stale_reads.append(f"{found} after {expected}")
+                        certain_versions.append(found)
+                    await anyio.sleep(generator.uniform(*DELAY_S))
+
+            async def cut_off_forever() -> None:
+                while True:
+                    host = generator.choice(test_deployment_replica.SEEDS)
+                    network.cut_off_hosts = {host}
+                    await anyio.sleep(generator.uniform(0, 0.3))
+                    network.cut_off_hosts = set()
+                    await anyio.sleep(generator.uniform(0, 0.3))
+
+            with anyio.move_on_after(SCHEDULE_S):
+                async with anyio.create_task_group() as operators:
+                    for _ in range(3):
+                        operators.start_soon(change_forever)
+                    for _ in range(5):
+                        operators.start_soon(read_forever)
+                    operators.start_soon(cut_off_forever)
+
+    virtual_time.run_in_virtual_time(run, monkeypatch)
+    assert stale_reads == []
+    assert certain_reads > 10 * SCHEDULE_S
