--- a/bluebelltide/entry/_load_reporter.py
+++ b/bluebelltide/entry/_load_reporter.py
@@ -103,6 +103,7 @@
         self._send = send
         self._loads = PeerLoads()
         placer.peer_flows = self._loads.flows
+        placer.peer_idle_flows = self._loads.idle_flows
         self._local_sent_ms = 0
         self._remote_sent_ms = 0
         self._last_report: _datagrams.LoadReport | None = None
@@ -122,7 +123,9 @@
 
     def receive(self, report: _datagrams.LoadReport, now_ms: int) -> None:
         """Uses the report of a peer."""
-        self._loads.receive(report.sender, report.open_flows, now_ms)
+        self._loads.receive(
+            report.sender, report.open_flows, now_ms, report.idle_flows
+        )
         self._placer.observations.note_peer_ejections(
             report.ejected_tokens, now_ms
         )
@@ -227,6 +230,7 @@
             self._host,
             dict(observations.open_flows),
             tuple(observations.ejected_targets(now_ms)),
+            dict(observations.idle_flows),
         )
 
     def _send_report(
--- a/bluebelltide/fronts/_token_front.py
+++ b/bluebelltide/fronts/_token_front.py
@@ -150,7 +150,10 @@
             self._emit_request_report(packet, data, endpoint)
             if endpoint is not None:
                 self._placer.note_request(
-                    endpoint.service, packet.flow_key, packet.request_id
+                    endpoint.service,
+                    packet.flow_key,
+                    packet.request_id,
+                    now_ms,
                 )
         if endpoint is None:
             # The caller retransmits the packet; by then the target may be
@@ -178,6 +181,8 @@
                 self._observe(
                     "handshake_ms", now_ms - answered_flow.first_seen_ms
                 )
+            elif packet.kind == _token_packets.PacketKind.ACKNOWLEDGEMENT:
+                self._placer.note_response(endpoint.service, packet.flow_key)
         self._send_to_target(data, packet.token, endpoint)
         if (
             packet.kind == _token_packets.PacketKind.ENDING
--- a/bluebelltide/fronts/_token_packets.py
+++ b/bluebelltide/fronts/_token_packets.py
@@ -17,7 +17,9 @@
     OPENING = "opening"
     """An opening packet or a retransmission of it."""
     DATA = "data"
-    """A packet that carries data or an acknowledgement."""
+    """A packet that carries data of an open flow."""
+    ACKNOWLEDGEMENT = "acknowledgement"
+    """A packet without data, by which the caller acknowledges some."""
     ENDING = "ending"
     """A packet that closes the caller's side of the flow or the whole flow."""
 
--- a/bluebelltide/messaging/_datagrams.py
+++ b/bluebelltide/messaging/_datagrams.py
@@ -119,6 +119,9 @@
     """The number of open flows of each target, by token."""
     ejected_tokens: tuple[int, ...]
     """The tokens of the ejected targets."""
+    idle_flows: dict[int, int] = {}
+    """The number of those open flows that wait for their next request, by
+    token."""
 
 
 Message = Poll | Update | LoadReport | PeerList
--- a/bluebelltide/messaging/tests/test_datagrams.py
+++ b/bluebelltide/messaging/tests/test_datagrams.py
@@ -6,7 +6,7 @@
 from bluebelltide.messaging import _datagrams
 
 POLL = _datagrams.Poll("10.0.0.1", "north", None, 3, 9, b"")
-REPORT = _datagrams.LoadReport("10.0.0.1", {5: 2}, (7,))
+REPORT = _datagrams.LoadReport("10.0.0.1", {5: 2}, (7,), {5: 1})
 
 
 @pytest.mark.parametrize("message", [POLL, REPORT])
--- a/bluebelltide/placement/__init__.py
+++ b/bluebelltide/placement/__init__.py
@@ -7,8 +7,8 @@
 from bluebelltide.placement._choice import choose_target
 from bluebelltide.placement._held_packets import HeldPacket
 from bluebelltide.placement._held_packets import HeldPacketQueue
-from bluebelltide.placement._observations import FlowKey
 from bluebelltide.placement._observations import Observations
+from bluebelltide.placement._observed_flow import FlowKey
 from bluebelltide.placement._peer_loads import PeerLoads
 from bluebelltide.placement._placer import TRANSMISSION_TIMES_MS
 from bluebelltide.placement._placer import LatencyBudget
--- a/bluebelltide/placement/_held_packets.py
+++ b/bluebelltide/placement/_held_packets.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 from typing import Generic, NamedTuple, TypeVar
 
-from bluebelltide.placement import _observations
+from bluebelltide.placement import _observed_flow
 
 MAXIMUM_HELD_PACKETS = 4000
 """Upper bound of held packets; `HeldPacketQueue.hold` rejects more."""
@@ -33,7 +33,7 @@
 class HeldPacket(NamedTuple, Generic[ContextT]):
     """An opening packet that is held."""
 
-    key: _observations.FlowKey
+    key: _observed_flow.FlowKey
     """The flow."""
     waited_ms: int
     """How long the caller had waited when it sent the packet."""
@@ -70,7 +70,7 @@
 
     def __init__(self) -> None:
         """Creates an empty queue."""
-        self._by_key: dict[_observations.FlowKey, HeldPacket[ContextT]] = {}
+        self._by_key: dict[_observed_flow.FlowKey, HeldPacket[ContextT]] = {}
 
     def __len__(self) -> int:
         """Returns how many packets are held."""
@@ -99,7 +99,7 @@
         self._by_key[packet.key] = packet
         return True
 
-    def remove(self, key: _observations.FlowKey) -> None:
+    def remove(self, key: _observed_flow.FlowKey) -> None:
         """Removes a flow's packet, if it is held."""
         self._by_key.pop(key, None)
 
--- a/bluebelltide/placement/_observations.py
+++ b/bluebelltide/placement/_observations.py
@@ -11,8 +11,7 @@
 import heapq
 from typing import NamedTuple
 
-FlowKey = bytes
-"""Both ends of a flow, encoded as in its packets."""
+from bluebelltide.placement import _observed_flow
 
 EJECT_AFTER_UNANSWERED = 2
 """Unanswered flows in a row that eject a target."""
@@ -20,63 +19,12 @@
 """How long the first ejection of a target lasts; it doubles each time."""
 EJECT_LIMIT_MS = 6400
 """Upper bound of the duration of an ejection."""
-FLOW_IDLE_TIMEOUT_MS = 800
-"""How long a flow without packets counts as open.
-
-The flow may have moved to another instance, which starts to count it only
-after the same time.
-"""
 OPENING_TIMEOUT_MS = 1500
 """How long a caller retransmits its opening packet."""
 ANSWER_TIMEOUT_MS = 80
 """How long an opening packet and its answer may take between data centres."""
 
 
-class ObservedFlow:
-    """The state of one flow at this instance.
-
-    If a flow was opened through another instance, that instance counts it for
-    FLOW_IDLE_TIMEOUT_MS after the last packet there, and this instance counts
-    it only afterwards. If the flow ends earlier, this instance subtracts one
-    from its own count until then, to offset the count of the other instance.
-    """
-
-    __slots__ = (
-        "was_slot_free",
-        "has_ended",
-        "last_seen_ms",
-        "is_answered",
-        "is_counted",
-        "is_first_choice",
-        "first_seen_ms",
-        "request_id",
-        "token",
-        "was_opened_here",
-    )
-
-    def __init__(self, token: int, now_ms: int, is_answered: bool) -> None:
-        """Creates the flow's state."""
-        self.token = token
-        self.first_seen_ms = now_ms
-        self.last_seen_ms = now_ms
-        self.is_answered = is_answered
-        self.was_opened_here = not is_answered
-        self.is_counted = self.was_opened_here
-        self.has_ended = False
-        self.was_slot_free = False
-        self.is_first_choice = False
-        self.request_id = ""
-
-    def may_have_token(self, token: int) -> bool:
-        """Returns whether a packet with a token can belong to this flow.
-
-        If the first transmission was the only one that was placed here, a
-        packet with another token is a late one of an earlier flow from the
-        same port.
-        """
-        return token == self.token or not self.is_first_choice
-
-
 class TargetHealth(NamedTuple):
     """Whether one target answers, as seen by this instance."""
 
@@ -100,23 +48,37 @@
     Attributes:
         open_flows: The flows counted by this instance, by target token. A
             count is negative if it offsets counts of other instances.
+        idle_flows: Those of them whose last request has been answered, by
+            target token.
     """
 
     def __init__(self) -> None:
         """Creates the state of an instance that has seen no packets."""
         self.open_flows: dict[int, int] = {}
+        self.idle_flows: dict[int, int] = {}
         self._count_corrections: list[tuple[int, int]] = []
-        self._flows: dict[FlowKey, ObservedFlow] = {}
-        self._awaiting_answer: deque[tuple[FlowKey, ObservedFlow]] = deque()
+        self._flows: dict[
+            _observed_flow.FlowKey, _observed_flow.ObservedFlow
+        ] = {}
+        self._silent_flows: dict[
+            _observed_flow.FlowKey, _observed_flow.ObservedFlow
+        ] = {}
+        """Open flows without packets for FLOW_IDLE_TIMEOUT_MS, by the time
+        when they were found silent."""
+        self._awaiting_answer: deque[
+            tuple[_observed_flow.FlowKey, _observed_flow.ObservedFlow]
+        ] = deque()
         self._health: dict[int, TargetHealth] = {}
 
-    def find_flow(self, key: FlowKey) -> ObservedFlow | None:
+    def find_flow(
+        self, key: _observed_flow.FlowKey
+    ) -> _observed_flow.ObservedFlow | None:
         """Returns the state of a flow, or None if it is unknown."""
         return self._flows.get(key)
 
     def note_opening_packet(
         self,
-        key: FlowKey,
+        key: _observed_flow.FlowKey,
         token: int,
         now_ms: int,
         was_slot_free: bool = False,
@@ -133,7 +95,7 @@
                 that no other target can have been chosen before.
         """
         self._remove_flow(key)
-        flow = ObservedFlow(token, now_ms, is_answered=False)
+        flow = _observed_flow.ObservedFlow(token, now_ms, is_answered=False)
         flow.was_slot_free = was_slot_free
         flow.is_first_choice = is_first_choice
         self._flows[key] = flow
@@ -141,8 +103,8 @@
         self._change_open_count(token, 1)
 
     def note_packet_with_token(
-        self, key: FlowKey, token: int, now_ms: int
-    ) -> ObservedFlow | None:
+        self, key: _observed_flow.FlowKey, token: int, now_ms: int
+    ) -> _observed_flow.ObservedFlow | None:
         """Records a packet that carries a token.
 
         The token proves that the target has answered.
@@ -156,7 +118,7 @@
             The flow, if this packet is the first sign that the target has
             answered an opening packet that this instance sent; else None.
         """
-        flow = self._flows.get(key)
+        flow = self._find_or_resume(key, now_ms)
         if flow is not None and not flow.may_have_token(token):
             return None
         if flow is not None and flow.token != token:
@@ -166,37 +128,61 @@
             flow = None
         if flow is None:
             # The flow was opened through another instance.
-            flow = ObservedFlow(token, now_ms, is_answered=True)
+            flow = _observed_flow.ObservedFlow(token, now_ms, is_answered=True)
             self._flows[key] = flow
             return None
         flow.last_seen_ms = now_ms
         if flow.is_answered or flow.has_ended:
             return None
         flow.is_answered = True
-        if not flow.is_counted:
-            flow.is_counted = True
-            self._change_open_count(token, 1)
+        self._start_counting(flow)
         self._health[token] = TargetHealth(last_answer_ms=now_ms)
         return flow
 
-    def note_request(self, key: FlowKey, request_id: str) -> bool:
+    def note_request(
+        self, key: _observed_flow.FlowKey, request_id: str, now_ms: int
+    ) -> bool:
         """Records that a request begins on a flow.
 
         Args:
             key: The flow.
             request_id: The request. The same id again means that its packet
                 was retransmitted.
+            now_ms: The current time.
 
         Returns:
             Whether the flow carried another request before.
         """
-        flow = self._flows.get(key)
+        flow = self._find_or_resume(key, now_ms)
         if flow is None:
             return False
+        self._set_idle(flow, False)
         has_earlier_request = flow.request_id not in ("", request_id)
         flow.request_id = request_id
         return has_earlier_request
 
+    def note_response(self, key: _observed_flow.FlowKey) -> None:
+        """Records that the caller has received (part of) a response.
+
+        The flow is idle until its next request.
+        """
+        flow = self._flows.get(key)
+        if flow is not None and flow.request_id and not flow.has_ended:
+            self._set_idle(flow, True)
+
+    def _find_or_resume(
+        self, key: _observed_flow.FlowKey, now_ms: int
+    ) -> _observed_flow.ObservedFlow | None:
+        """Returns a flow; one that was silent counts again."""
+        flow = self._flows.get(key)
+        if flow is not None or key not in self._silent_flows:
+            return flow
+        flow = self._silent_flows.pop(key)
+        flow.last_seen_ms = now_ms
+        self._flows[key] = flow
+        self._start_counting(flow)
+        return flow
+
     def check_overdue_answers(self, now_ms: int) -> None:
         """Records the opening packets whose answer is overdue.
 
@@ -215,13 +201,28 @@
                 self._note_unanswered_flow(flow, now_ms)
                 self._stop_counting(flow)
 
-    def _stop_counting(self, flow: ObservedFlow) -> None:
+    def _start_counting(self, flow: _observed_flow.ObservedFlow) -> None:
+        if not flow.is_counted:
+            flow.is_counted = True
+            self._change_open_count(flow.token, 1)
+
+    def _stop_counting(self, flow: _observed_flow.ObservedFlow) -> None:
         """Keeps a flow for retransmissions, but not as load of its target."""
         if flow.is_counted:
+            self._set_idle(flow, False)
             flow.is_counted = False
             self._change_open_count(flow.token, -1)
 
-    def _note_unanswered_flow(self, flow: ObservedFlow, now_ms: int) -> None:
+    def _set_idle(
+        self, flow: _observed_flow.ObservedFlow, is_idle: bool
+    ) -> None:
+        if flow.is_counted and flow.is_idle != is_idle:
+            flow.is_idle = is_idle
+            _change_count(self.idle_flows, flow.token, 1 if is_idle else -1)
+
+    def _note_unanswered_flow(
+        self, flow: _observed_flow.ObservedFlow, now_ms: int
+    ) -> None:
         health = self._health.get(flow.token, UNKNOWN_HEALTH)
         if health.last_answer_ms >= flow.first_seen_ms:
             # The target is alive; the packet or its answer was lost.
@@ -234,8 +235,8 @@
         self._health[flow.token] = health
 
     def note_flow_end(
-        self, key: FlowKey, token: int, now_ms: int
-    ) -> ObservedFlow:
+        self, key: _observed_flow.FlowKey, token: int, now_ms: int
+    ) -> _observed_flow.ObservedFlow:
         """Records the end of a flow.
 
         The flow's state is kept for a while, so that the caller's last
@@ -249,11 +250,11 @@
         Returns:
             The flow's state.
         """
-        flow = self._flows.get(key)
+        flow = self._find_or_resume(key, now_ms)
         if flow is not None and not flow.may_have_token(token):
-            return ObservedFlow(token, now_ms, is_answered=True)
+            return _observed_flow.ObservedFlow(token, now_ms, is_answered=True)
         if flow is None:
-            flow = ObservedFlow(token, now_ms, is_answered=True)
+            flow = _observed_flow.ObservedFlow(token, now_ms, is_answered=True)
             self._flows[key] = flow
         flow.last_seen_ms = now_ms
         is_first_end = not flow.has_ended
@@ -264,23 +265,22 @@
             # Another instance still counts the flow. Subtract it here until
             # that instance has stopped.
             self._change_open_count(flow.token, -1)
-            offset_until_ms = flow.first_seen_ms + FLOW_IDLE_TIMEOUT_MS
+            offset_until_ms = (
+                flow.first_seen_ms + _observed_flow.FLOW_IDLE_TIMEOUT_MS
+            )
             heapq.heappush(
                 self._count_corrections, (offset_until_ms, flow.token)
             )
         return flow
 
-    def _remove_flow(self, key: FlowKey) -> None:
-        flow = self._flows.pop(key, None)
-        if flow is not None:
-            self._stop_counting(flow)
+    def _remove_flow(self, key: _observed_flow.FlowKey) -> None:
+        for flows in (self._flows, self._silent_flows):
+            flow = flows.pop(key, None)
+            if flow is not None:
+                self._stop_counting(flow)
 
     def _change_open_count(self, token: int, change: int) -> None:
-        count = self.open_flows.get(token, 0) + change
-        if count:
-            self.open_flows[token] = count
-        else:
-            self.open_flows.pop(token, None)
+        _change_count(self.open_flows, token, change)
 
     def is_ejected(self, token: int, now_ms: int) -> bool:
         """Returns whether a target gets no new flows at present."""
@@ -342,16 +342,41 @@
             # A caller retransmits its opening packet for longer than an open
             # flow may be idle.
             limit_ms = (
-                FLOW_IDLE_TIMEOUT_MS if flow.is_answered else OPENING_TIMEOUT_MS
+                _observed_flow.FLOW_IDLE_TIMEOUT_MS
+                if flow.is_answered
+                else OPENING_TIMEOUT_MS
             )
             if now_ms - flow.last_seen_ms > limit_ms:
-                self._remove_flow(key)
+                self._end_or_silence(key, flow)
             elif self._must_start_counting(flow, now_ms):
-                flow.is_counted = True
-                self._change_open_count(flow.token, 1)
+                self._start_counting(flow)
+        self._expire_silent_flows(now_ms)
+
+    def _end_or_silence(
+        self, key: _observed_flow.FlowKey, flow: _observed_flow.ObservedFlow
+    ) -> None:
+        """Removes a flow, or only remembers it if it may go on later."""
+        if flow.has_ended or not flow.request_id:
+            self._remove_flow(key)
+            return
+        del self._flows[key]
+        self._silent_flows[key] = flow
+        if not flow.is_idle:
+            # It may have moved to another instance with its request.
+            self._stop_counting(flow)
+
+    def _expire_silent_flows(self, now_ms: int) -> None:
+        limit_ms = _observed_flow.KEPT_FLOW_TIMEOUT_MS
+        while self._silent_flows:
+            key, flow = next(iter(self._silent_flows.items()))
+            if now_ms - flow.last_seen_ms <= limit_ms:
+                return
+            self._remove_flow(key)
 
     @staticmethod
-    def _must_start_counting(flow: ObservedFlow, now_ms: int) -> bool:
+    def _must_start_counting(
+        flow: _observed_flow.ObservedFlow, now_ms: int
+    ) -> bool:
         """Returns whether this instance must now start to count a flow.
 
         A flow of which it saw only one packet is not counted.
@@ -363,7 +388,17 @@
             or flow.last_seen_ms == flow.first_seen_ms
         ):
             return False
-        return now_ms - flow.first_seen_ms >= FLOW_IDLE_TIMEOUT_MS
+        return (
+            now_ms - flow.first_seen_ms >= _observed_flow.FLOW_IDLE_TIMEOUT_MS
+        )
+
+
+def _change_count(counts: dict[int, int], token: int, change: int) -> None:
+    count = counts.get(token, 0) + change
+    if count:
+        counts[token] = count
+    else:
+        counts.pop(token, None)
 
 
 def _eject(health: TargetHealth, now_ms: int) -> TargetHealth:
--- a/bluebelltide/placement/_peer_loads.py
+++ b/bluebelltide/placement/_peer_loads.py
@@ -5,6 +5,8 @@
 
 REPORT_LIFETIME_MS = 1000
 """How long the load report of a peer is used."""
+NO_FLOWS: Mapping[int, int] = {}
+"""The idle flows of a report that names none."""
 
 
 class _PeerReport(NamedTuple):
@@ -14,6 +16,8 @@
     """The number of open flows by target token."""
     received_ms: int
     """When the report arrived."""
+    idle_flows: Mapping[int, int]
+    """The number of idle ones among the open flows, by target token."""
 
 
 class PeerLoads:
@@ -24,11 +28,13 @@
 
     Attributes:
         flows: The open flows that the peers report, by target token.
+        idle_flows: The idle ones among them, by target token.
     """
 
     def __init__(self) -> None:
         """Creates the sum of no reports."""
         self.flows: dict[int, int] = {}
+        self.idle_flows: dict[int, int] = {}
         self._reports: dict[str, _PeerReport] = {}
 
     @property
@@ -37,7 +43,11 @@
         return len(self._reports)
 
     def receive(
-        self, sender: str, flows: Mapping[int, int], now_ms: int
+        self,
+        sender: str,
+        flows: Mapping[int, int],
+        now_ms: int,
+        idle_flows: Mapping[int, int] = NO_FLOWS,
     ) -> None:
         """Replaces the report of a peer.
 
@@ -45,10 +55,12 @@
             sender: The address of the peer.
             flows: The peer's open flows by target token.
             now_ms: The current time.
+            idle_flows: The idle ones among the open flows by target token.
         """
         self._forget(sender)
-        self._reports[sender] = _PeerReport(flows, now_ms)
-        self._add(flows, 1)
+        self._reports[sender] = _PeerReport(flows, now_ms, idle_flows)
+        _add(self.flows, flows, 1)
+        _add(self.idle_flows, idle_flows, 1)
 
     def expire(self, now_ms: int) -> None:
         """Forgets the reports of peers that have been silent for too long."""
@@ -59,12 +71,14 @@
     def _forget(self, sender: str) -> None:
         report = self._reports.pop(sender, None)
         if report is not None:
-            self._add(report.flows, -1)
-
-    def _add(self, flows: Mapping[int, int], sign: int) -> None:
-        for token, count in flows.items():
-            total = self.flows.get(token, 0) + sign * count
-            if total:
-                self.flows[token] = total
-            else:
-                self.flows.pop(token, None)
+            _add(self.flows, report.flows, -1)
+            _add(self.idle_flows, report.idle_flows, -1)
+
+
+def _add(sums: dict[int, int], flows: Mapping[int, int], sign: int) -> None:
+    for token, count in flows.items():
+        total = sums.get(token, 0) + sign * count
+        if total:
+            sums[token] = total
+        else:
+            sums.pop(token, None)
--- a/bluebelltide/placement/_placer.py
+++ b/bluebelltide/placement/_placer.py
@@ -14,6 +14,7 @@
 from bluebelltide import _types
 from bluebelltide.placement import _choice
 from bluebelltide.placement import _observations
+from bluebelltide.placement import _observed_flow
 
 LAST_RETRANSMISSION = 2
 """The number of the last retransmission that a caller sends."""
@@ -27,6 +28,9 @@
 
 It applies until a flow of the service has been measured.
 """
+IDLE_FLOW_LOAD = 0.1
+"""The load of an idle flow, compared with one whose request runs. Idle flows
+are spread over the targets, since any of them may go on at any time."""
 DURATION_SMOOTHING = 0.05
 """The weight of one flow in the mean flow duration of a service."""
 
@@ -76,6 +80,7 @@
     Attributes:
         observations: What the instance sees of flows and targets.
         peer_flows: Open flows that other instances reported, by token.
+        peer_idle_flows: Those of them that are idle.
         peer_count: How many other instances share the targets.
     """
 
@@ -83,6 +88,7 @@
         """Creates the placer; use `create_placer`."""
         self.observations = _observations.Observations()
         self.peer_flows: dict[int, int] = {}
+        self.peer_idle_flows: dict[int, int] = {}
         self.peer_count = 0
         self._data_centre = data_centre
         self._draw = draw
@@ -102,7 +108,7 @@
         self._slot_count = sum(target.slots for target in targets.values())
 
     def update_flow_duration(
-        self, service: str, flow: _observations.ObservedFlow, now_ms: int
+        self, service: str, flow: _observed_flow.ObservedFlow, now_ms: int
     ) -> None:
         """Updates the mean flow duration of a service when a flow ends.
 
@@ -117,16 +123,29 @@
         self._mean_duration_ms[service] = mean_ms
 
     def note_request(
-        self, service: str, key: _observations.FlowKey, request_id: str
+        self,
+        service: str,
+        key: _observed_flow.FlowKey,
+        request_id: str,
+        now_ms: int,
     ) -> None:
         """Records that a request begins on a flow of a service.
 
         Once a flow has carried two requests, callers of the service no longer
         wait for free slots: an open flow does not mean a busy slot there.
         """
-        if self.observations.note_request(key, request_id):
+        if self.observations.note_request(key, request_id, now_ms):
             self._multi_request_services.add(service)
 
+    def note_response(self, service: str, key: _observed_flow.FlowKey) -> None:
+        """Records that a caller acknowledges a response on a flow.
+
+        Where callers keep flows for many requests, the flow then occupies no
+        slot until its next request.
+        """
+        if service in self._multi_request_services:
+            self.observations.note_response(key)
+
     def _would_be_late(
         self,
         service: str,
@@ -156,11 +175,14 @@
         Returns:
             The share; above 1 if flows queue.
         """
-        known_flows = sum(self.observations.open_flows.values())
-        known_flows += sum(self.peer_flows.values())
+        own = self.observations
+        known_load = _load_of(
+            sum(own.open_flows.values()) + sum(self.peer_flows.values()),
+            sum(own.idle_flows.values()) + sum(self.peer_idle_flows.values()),
+        )
         instances = 1 + self.peer_count
-        open_flows = max(0, known_flows) * instances / reporting_instances
-        return open_flows / max(1, self._slot_count)
+        load = max(0.0, known_load) * instances / reporting_instances
+        return load / max(1, self._slot_count)
 
     def release_allowance(self, service: str, now_ms: int) -> int:
         """Returns how many held packets may be placed now.
@@ -190,7 +212,7 @@
 
     def place(
         self,
-        key: _observations.FlowKey,
+        key: _observed_flow.FlowKey,
         service: str,
         retransmissions: int,
         now_ms: int,
@@ -260,7 +282,7 @@
 
     def _may_keep_target(
         self,
-        flow: _observations.ObservedFlow,
+        flow: _observed_flow.ObservedFlow,
         retransmissions: int,
         now_ms: int,
     ) -> bool:
@@ -300,7 +322,12 @@
         self, token: int, target: _types.Target
     ) -> _choice.Candidate:
         own_flows = self.observations.open_flows.get(token, 0)
-        open_flows = max(0, own_flows + self.peer_flows.get(token, 0))
+        idle_flows = self.observations.idle_flows.get(token, 0)
+        idle_flows += self.peer_idle_flows.get(token, 0)
+        open_flows = max(
+            0.0,
+            _load_of(own_flows + self.peer_flows.get(token, 0), idle_flows),
+        )
         if self.observations.is_suspect(token):
             # Adds load, so that one flow at a time probes the target.
             open_flows += target.slots * (1 + own_flows)
@@ -313,6 +340,11 @@
         )
 
 
+def _load_of(open_flows: int, idle_flows: int) -> float:
+    """Returns the load of open flows, of which some are idle."""
+    return open_flows - idle_flows * (1 - IDLE_FLOW_LOAD)
+
+
 def create_placer(data_centre: str, draw: Callable[[], float]) -> Placer:
     """Creates the placer of an instance.
 
--- a/bluebelltide/placement/tests/test_held.py
+++ b/bluebelltide/placement/tests/test_held.py
@@ -135,12 +135,12 @@
         key = str(number).encode()
         placer.place(key, "dues", 0, 0)
         placer.observations.note_packet_with_token(key, 1, 1)
-        placer.note_request("dues", key, f"first-{number}")
+        placer.note_request("dues", key, f"first-{number}", 1)
     assert place(placer, b"x", waited_ms=200) == _placer.PlacementOutcome.WAIT
     # A retransmitted packet is not a second request.
-    placer.note_request("dues", b"0", "first-0")
+    placer.note_request("dues", b"0", "first-0", 2)
     assert place(placer, b"x", waited_ms=200) == _placer.PlacementOutcome.WAIT
-    placer.note_request("dues", b"0", "second")
+    placer.note_request("dues", b"0", "second", 3)
     assert place(placer, b"x", waited_ms=200) == _placer.PlacementOutcome.NEW
 
 
--- a/bluebelltide/placement/tests/test_long_flows.py
+++ b/bluebelltide/placement/tests/test_long_flows.py
@@ -66,14 +66,24 @@
 
     def run_request(self, key: bytes, token: int, now_ms: float) -> float:
         """Runs a request; returns when it ends."""
+        request_id = str(next(self.numbers))
+        self.placer.note_request("service", key, request_id, int(now_ms))
         self.placer.observations.note_packet_with_token(key, token, int(now_ms))
         slots = self.free_at_ms[token]
         start_ms = max(now_ms, min(slots))
         end_ms = start_ms + self.random.lognormvariate(-0.11, 0.47) * WORK_MS
         slots[slots.index(min(slots))] = end_ms
         self.waits_ms.append(start_ms - now_ms)
+        self.at(end_ms, lambda ms: self.acknowledge_response(key, token, ms))
         return end_ms
 
+    def acknowledge_response(
+        self, key: bytes, token: int, now_ms: float
+    ) -> None:
+        """The caller acknowledges the response, as a caller always does."""
+        self.placer.observations.note_packet_with_token(key, token, int(now_ms))
+        self.placer.note_response("service", key)
+
     def start_long_flow(self, now_ms: float) -> None:
         key, token = self.open_flow(now_ms)
         self.long_flows[token] += 1
--- a/bluebelltide/placement/tests/test_peer_loads.py
+++ b/bluebelltide/placement/tests/test_peer_loads.py
@@ -16,6 +16,17 @@
     assert loads.peer_count == 2
 
 
+def test_idle_flows_are_summed_apart_and_leave_with_their_report() -> None:
+    loads = PeerLoads()
+    loads.receive("a", {1: 2}, 0, {1: 1})
+    loads.receive("b", {1: 3}, 500, {1: 2})
+    assert loads.idle_flows == {1: 3}
+    loads.receive("b", {1: 3}, 500)
+    assert loads.idle_flows == {1: 1}
+    loads.expire(_peer_loads.REPORT_LIFETIME_MS + 1)
+    assert loads.idle_flows == {}
+
+
 def test_the_reports_of_a_silent_peer_expire() -> None:
     loads = PeerLoads()
     loads.receive("a", {1: 2}, now_ms=0)
