--- a/bluebelltide/catalogue/tests/test_store_full_disk.py
+++ b/bluebelltide/catalogue/tests/test_store_full_disk.py
@@ -19,10 +19,11 @@
 """At least as many refusable steps as a write with a compaction has."""
 
 
-class _Disk:
+class RefusingDisk:
     """Counts the steps that need room, and refuses some of them."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Counts from now on; refuses nothing yet."""
         self.is_counting = True
         self.steps = 0
         self.refused_steps: frozenset[int] = frozenset()
@@ -74,7 +75,7 @@
     monkeypatch.setattr(_store, "COMPACT_AFTER_BYTES", 500)
     store = _store.Store(tmp_path)
     store.start()
-    disk = _Disk(monkeypatch)
+    disk = RefusingDisk(monkeypatch)
     disk.refuse(range(first_refused, first_refused + refused_count))
     for version in range(1, 9):
         with contextlib.suppress(OSError):
@@ -94,7 +95,7 @@
     first_refused: int,
 ) -> None:
     monkeypatch.setattr(_store, "COMPACT_AFTER_BYTES", 500)
-    disk = _Disk(monkeypatch)
+    disk = RefusingDisk(monkeypatch)
     for second_refused in range(first_refused, STEPS + 4):
         disk.refused_steps = frozenset()
         folder = tmp_path / str(second_refused)
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -5,6 +5,7 @@
 updates to the entry instances and the other replicas when something changes.
 """
 
+from collections.abc import Callable
 import random
 
 import anyio
@@ -54,12 +55,33 @@
 RESTART_NOTICE_MS_PER_HOST = 4
 """Time between two rounds for each instance that gets notices, so that the
 rate of notices is bounded."""
+START_RETRY_INTERVAL_MS = 200
+"""Time between two attempts to open the data folder."""
 FETCH_TIMEOUT_MS = 1500
 """How long fetching a committed state from a replica may take."""
 FORGET_REPLICA_MS = 60_000
 """How long a silent replica stays known."""
 
 
+async def start_when_disk_accepts(start: Callable[[], None]) -> None:
+    """Starts a replica; waits while its disk refuses to be written.
+
+    A process that ended instead might be restarted with settings that no
+    longer say that the whole deployment starts for the first time. The replica
+    would then get an identity that never votes.
+
+    Args:
+        start: Opens the data folder; may be called again after an OSError.
+    """
+    while True:
+        try:
+            start()
+            return
+        except OSError as error:
+            events.write("store_not_opened", error=str(error))
+        await anyio.sleep(START_RETRY_INTERVAL_MS / 1000)
+
+
 class DirectControl:
     """The controller of one control process of a direct deployment.
 
@@ -106,7 +128,9 @@
         """
         settings = self._settings
         self._tasks = tasks
-        self.deployment_replica.start(tasks)
+        await start_when_disk_accepts(
+            lambda: self.deployment_replica.start(tasks)
+        )
         self._saved_targets.recover(_clock.now_ms())
         self._own_replica = _datagrams.Replica(
             self.deployment_replica.identity, settings.data_centre
