--- a/bluebelltide/_metrics.py
+++ b/bluebelltide/_metrics.py
@@ -4,11 +4,13 @@
 from collections import Counter
 from enum import StrEnum
 import itertools
-
-import statsd
+from typing import TYPE_CHECKING
 
 from bluebelltide import _types
 
+if TYPE_CHECKING:
+    import statsd
+
 PREFIX = "bluebelltide"
 BUCKET_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
 """The upper bounds of a histogram's buckets, in milliseconds."""
@@ -48,7 +50,7 @@
         histograms: The latencies since the start of the process, by name.
     """
 
-    def __init__(self, client: statsd.StatsClient | None) -> None:
+    def __init__(self, client: "statsd.StatsClient | None") -> None:
         """Creates empty metrics; use `create_metrics` instead."""
         self._client = client
         self.counts: Counter[str] = Counter()
@@ -99,6 +101,9 @@
     """
     if address is None:
         return Metrics(None)
+    # Processes that send nothing start sooner without the library.
+    import statsd
+
     client = statsd.StatsClient(
         address.host,
         address.port,
--- a/bluebelltide/admission/tests/test_admission.py
+++ b/bluebelltide/admission/tests/test_admission.py
@@ -7,9 +7,9 @@
 from bluebelltide import _codes
 from bluebelltide import _types
 from bluebelltide import admission
-from bluebelltide import catalogue
-from bluebelltide import membership
 from bluebelltide.admission import _limits
+from bluebelltide.catalogue import _entries
+from bluebelltide.membership import _registry
 
 Refusal = _codes.RefusalCode
 
@@ -17,14 +17,14 @@
 def make_admission(
     targets: int = 2, slots: int = 1, **limits: int
 ) -> admission.Admission:
-    entry = catalogue.ServiceEntry(
+    entry = _entries.ServiceEntry(
         "svc",
         "team",
-        catalogue.ServiceClass.NORMAL,
+        _entries.ServiceClass.NORMAL,
         (),
         (),
-        admission_mode=catalogue.AdmissionMode.SLOTS,
-        limits=catalogue.Limits(**limits),
+        admission_mode=_entries.AdmissionMode.SLOTS,
+        limits=_entries.Limits(**limits),
     )
     controller = admission.create_admission(entry, 1)
     controller.update_targets(
@@ -35,9 +35,9 @@
 
 def make_availabilities(
     targets: int, slots: int = 1, sequence: int = 1, load_percent: int = 0
-) -> list[membership.TargetAvailability]:
+) -> list[_registry.TargetAvailability]:
     return [
-        membership.TargetAvailability(
+        _registry.TargetAvailability(
             _types.Target(
                 f"t{number}",
                 "svc",
--- a/bluebelltide/bench/__main__.py
+++ b/bluebelltide/bench/__main__.py
@@ -15,7 +15,6 @@
 from bluebelltide import _log_lines
 from bluebelltide import _program
 from bluebelltide import _types
-from bluebelltide import catalogue
 from bluebelltide import spec
 from bluebelltide.bench import _faults
 from bluebelltide.bench import _flows
@@ -25,6 +24,7 @@
 from bluebelltide.bench import _report_plot
 from bluebelltide.bench import _scale
 from bluebelltide.bench import _tokens
+from bluebelltide.catalogue import _entries
 
 app = cyclopts.App(
     name="bluebelltide-bench",
@@ -102,7 +102,7 @@
         plans = list(_flows.PLANS) if plan == "all" else [plan]
         for name in plans:
             _check_choice("--plan", name, _flows.PLANS)
-            _check_choice("--objective", objective, list(catalogue.Objective))
+            _check_choice("--objective", objective, list(_entries.Objective))
             options = _flows.Options(
                 instances, targets, flows, name, seed, objective=objective
             )
--- a/bluebelltide/bench/_fabric.py
+++ b/bluebelltide/bench/_fabric.py
@@ -12,7 +12,6 @@
 
 from bluebelltide import _types
 from bluebelltide import flows
-from bluebelltide import membership
 from bluebelltide.bench import _clock
 from bluebelltide.flows import _messages
 from bluebelltide.membership import _registry
@@ -59,16 +58,16 @@
         self.drained_targets: set[tuple[str, str]] = set()
         self.load_factors: dict[str, dict[str, float]] = {}
         self.started_ms = 0.0
-        member = membership.Member(
+        member = _swim.Member(
             name,
             seed,
-            membership.MemberStatus.ALIVE,
+            _swim.MemberStatus.ALIVE,
             data_centre,
             PLACEHOLDER_ADDRESS,
             True,
         )
-        self.swim = membership.Swim(member, seed)
-        self.registry = membership.TargetRegistry()
+        self.swim = _swim.Swim(member, seed)
+        self.registry = _registry.TargetRegistry()
         self.engine = flows.RoutingEngine(name, seed)
         self.control_bytes = 0
 
@@ -163,7 +162,7 @@
         self.clock.after(2.5 * READINESS_PROBE_INTERVAL_MS, start_leaving)
 
     def _depart(self, instance: Instance) -> None:
-        instance.swim.update_own_member(False, membership.MemberStatus.LEFT)
+        instance.swim.update_own_member(False, _swim.MemberStatus.LEFT)
         ping = _swim.Ping(instance.name, 0, (instance.swim.own_member,))
         for other in list(self.instances.values()):
             if other is not instance:
--- a/bluebelltide/bench/_overload.py
+++ b/bluebelltide/bench/_overload.py
@@ -18,10 +18,10 @@
 from bluebelltide import _codes
 from bluebelltide import _types
 from bluebelltide import admission
-from bluebelltide import catalogue
-from bluebelltide import membership
 from bluebelltide.bench import _clock
 from bluebelltide.bench import _weighted
+from bluebelltide.catalogue import _entries
+from bluebelltide.membership import _registry
 
 REPORT_INTERVAL_MS = 500
 """Time between two load reports of a target."""
@@ -60,7 +60,7 @@
     """The mean time that a request occupies a slot."""
     late_after_ms: float
     """The time after which an answer is late."""
-    service_class: catalogue.ServiceClass
+    service_class: _entries.ServiceClass
     """The class of the service."""
     caller_count: int
     """The number of callers; a tenth of them send more than half."""
@@ -91,7 +91,7 @@
                 3,
                 60.0,
                 1000.0,
-                catalogue.ServiceClass.URGENT,
+                _entries.ServiceClass.URGENT,
                 400,
             ),
             ServiceModel(
@@ -100,7 +100,7 @@
                 3,
                 250.0,
                 4000.0,
-                catalogue.ServiceClass.NORMAL,
+                _entries.ServiceClass.NORMAL,
                 80,
             ),
         ),
@@ -116,7 +116,7 @@
                 2,
                 80.0,
                 1000.0,
-                catalogue.ServiceClass.URGENT,
+                _entries.ServiceClass.URGENT,
                 300,
             ),
             ServiceModel(
@@ -125,7 +125,7 @@
                 2,
                 400.0,
                 6000.0,
-                catalogue.ServiceClass.BACKGROUND,
+                _entries.ServiceClass.BACKGROUND,
                 40,
             ),
         ),
@@ -259,7 +259,7 @@
     def __init__(self, number: int, data_centre: int) -> None:
         self.number = number
         self.data_centre = data_centre
-        self.availabilities: dict[str, membership.TargetAvailability] = {}
+        self.availabilities: dict[str, _registry.TargetAvailability] = {}
         self.last_received_ms: dict[str, float] = {}
         self.first_received_ms: dict[str, float] = {}
         self.admissions: dict[str, admission.Admission] = {}
@@ -300,19 +300,19 @@
             self.targets[name] = target
             self._announce(target)
         self._apply_scenario(self.targets[f"{service.name}-1"])
-        limits = catalogue.Limits(
+        limits = _entries.Limits(
             new_flows_per_s=1_000_000,
             open_flows=1_000_000,
             waiting_flows=10_000,
             deadline_ms=int(service.late_after_ms),
         )
-        entry = catalogue.ServiceEntry(
+        entry = _entries.ServiceEntry(
             service.name,
             "team",
             service.service_class,
             (),
             (),
-            admission_mode=catalogue.AdmissionMode.SLOTS,
+            admission_mode=_entries.AdmissionMode.SLOTS,
             limits=limits,
         )
         for instance in self.instances:
@@ -383,13 +383,13 @@
             share = max(0.1, min(1.0, age_ms / 10_000))
         is_local = target.data_centre == f"dc{instance.data_centre}"
         instance.availabilities[target.target_id] = (
-            membership.TargetAvailability(target, True, share, is_local)
+            _registry.TargetAvailability(target, True, share, is_local)
         )
         self._update_admission(instance, target.service)
 
     def _availabilities(
         self, instance: _Instance, service: str
-    ) -> list[membership.TargetAvailability]:
+    ) -> list[_registry.TargetAvailability]:
         oldest_valid_ms = self.clock.now_ms - 2000
         return [
             availability._replace(
--- a/bluebelltide/control/_api.py
+++ b/bluebelltide/control/_api.py
@@ -15,7 +15,7 @@
 from bluebelltide import _http
 from bluebelltide import _metrics
 from bluebelltide import _tokens
-from bluebelltide import catalogue
+from bluebelltide.catalogue import _entries
 from bluebelltide.catalogue import _register
 from bluebelltide.control import _catalogue_replica
 
@@ -88,12 +88,12 @@
     assert body is not None
     if value is None:
         return body, None
-    entry, lines = catalogue.check_entry(body.key, value)
+    entry, lines = _entries.check_entry(body.key, value)
     if entry is None:
         raise _exceptions.BluebelltideError(
             _exceptions.ErrorCode.BAD_CATALOGUE, "; ".join(lines), body.key
         )
-    return body, catalogue.encode_entry(entry)
+    return body, _entries.encode_entry(entry)
 
 
 def create_api(
@@ -193,8 +193,8 @@
     replica: _catalogue_replica.CatalogueReplica, key: str, value: bytes
 ) -> None:
     entries = dict(replica.view.entries)
-    entries[key] = catalogue.decode_entry(key, value)
-    lines = catalogue.check_unique_addresses(entries)
+    entries[key] = _entries.decode_entry(key, value)
+    lines = _entries.check_unique_addresses(entries)
     if lines:
         raise _exceptions.BluebelltideError(
             _exceptions.ErrorCode.BAD_CATALOGUE, "; ".join(lines), key
--- a/bluebelltide/ctl/__main__.py
+++ b/bluebelltide/ctl/__main__.py
@@ -17,7 +17,7 @@
 from bluebelltide import _log_lines
 from bluebelltide import _program
 from bluebelltide import _tokens
-from bluebelltide import catalogue
+from bluebelltide.catalogue import _entries
 from bluebelltide.ctl import _client
 from bluebelltide.ctl import _explain
 from bluebelltide.ctl import _plan
@@ -118,7 +118,7 @@
     """
 
     def run() -> None:
-        entries = catalogue.read_catalogue(file)
+        entries = _entries.read_catalogue(file)
         print(f"{file}: {len(entries)} entries are valid")
 
     return _program.run_and_report(run)
@@ -142,7 +142,7 @@
     """
 
     def run() -> None:
-        desired = catalogue.read_catalogue(file)
+        desired = _entries.read_catalogue(file)
         client = _open_client(connection)
         current = client.request("GET", "/v1/entries")
         changes = _plan.plan_changes(desired, current, prune)
@@ -181,7 +181,7 @@
     """
 
     def run() -> None:
-        desired = catalogue.read_catalogue(file)
+        desired = _entries.read_catalogue(file)
         client = _open_client(connection)
         current = client.request("GET", "/v1/entries")
         changes = _plan.plan_changes(desired, current, prune)
@@ -367,7 +367,7 @@
         connection: How to reach the control replicas.
         as_json: Print JSON.
     """
-    key = f"{catalogue.DRAIN_TARGET_PREFIX}{service}/{target_id}"
+    key = f"{_entries.DRAIN_TARGET_PREFIX}{service}/{target_id}"
     return _set_drain(
         key, _make_drain_value(reason, operator), connection, wait, as_json
     )
@@ -393,7 +393,7 @@
         connection: How to reach the control replicas.
         as_json: Print JSON.
     """
-    key = f"{catalogue.DRAIN_INSTANCE_PREFIX}{name}"
+    key = f"{_entries.DRAIN_INSTANCE_PREFIX}{name}"
     return _set_drain(
         key, _make_drain_value(reason, operator), connection, wait, as_json
     )
@@ -417,7 +417,7 @@
         connection: How to reach the control replicas.
         as_json: Print JSON.
     """
-    key = f"{catalogue.DRAIN_TARGET_PREFIX}{service}/{target_id}"
+    key = f"{_entries.DRAIN_TARGET_PREFIX}{service}/{target_id}"
     return _set_drain(key, None, connection, wait, as_json)
 
 
@@ -437,7 +437,7 @@
         connection: How to reach the control replicas.
         as_json: Print JSON.
     """
-    key = f"{catalogue.DRAIN_INSTANCE_PREFIX}{name}"
+    key = f"{_entries.DRAIN_INSTANCE_PREFIX}{name}"
     return _set_drain(key, None, connection, wait, as_json)
 
 
--- a/bluebelltide/ctl/_plan.py
+++ b/bluebelltide/ctl/_plan.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from bluebelltide import catalogue
+from bluebelltide.catalogue import _entries
 
 
 class ChangeKind(StrEnum):
@@ -32,7 +32,7 @@
 
 
 def plan_changes(
-    desired: Mapping[str, catalogue.Entry],
+    desired: Mapping[str, _entries.Entry],
     current: Mapping[str, Mapping[str, Any]],
     prune: bool,
 ) -> list[PlannedChange]:
@@ -50,7 +50,7 @@
     """
     changes = []
     for key, entry in sorted(desired.items()):
-        value = catalogue.entry_to_json(entry)
+        value = _entries.entry_to_json(entry)
         current_entry = current.get(key, {"version": 0, "value": None})
         kind = ChangeKind.UPDATE
         if current_entry["value"] is None:
@@ -61,7 +61,7 @@
             )
     if prune:
         for key, current_entry in sorted(current.items()):
-            is_service = key.startswith(catalogue.SERVICE_PREFIX)
+            is_service = key.startswith(_entries.SERVICE_PREFIX)
             if (
                 is_service
                 and key not in desired
--- a/bluebelltide/entry/_announce.py
+++ b/bluebelltide/entry/_announce.py
@@ -15,8 +15,8 @@
 from bluebelltide import _metrics
 from bluebelltide import _tokens
 from bluebelltide import _types
-from bluebelltide import membership
 from bluebelltide.catalogue import _view
+from bluebelltide.membership import _registry
 
 MAXIMUM_LEASE_MS = 60_000
 """Maximum lease of a target; longer ones are shortened."""
@@ -54,7 +54,7 @@
 
     def __init__(
         self,
-        registry: membership.TargetRegistry,
+        registry: _registry.TargetRegistry,
         view: _view.CatalogueView,
         data_centre: str,
         metrics: _metrics.Metrics,
--- a/bluebelltide/entry/_flows.py
+++ b/bluebelltide/entry/_flows.py
@@ -12,13 +12,13 @@
 from bluebelltide import _metrics
 from bluebelltide import _settings
 from bluebelltide import _udp
-from bluebelltide import catalogue
 from bluebelltide import flows
-from bluebelltide import membership
+from bluebelltide.catalogue import _entries
 from bluebelltide.entry import _fronts
 from bluebelltide.entry import _mesh
 from bluebelltide.fronts import _packet
 from bluebelltide.fronts import _relay
+from bluebelltide.membership import _registry
 
 TICK_MS = 50
 """Time between two runs of the engine's timers."""
@@ -42,7 +42,7 @@
         packet: _settings.PacketSettings,
         mesh: _mesh.Mesh,
         fronts: _fronts.FrontController,
-        registry: membership.TargetRegistry,
+        registry: _registry.TargetRegistry,
         metrics: _metrics.Metrics,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
@@ -140,7 +140,7 @@
         live = {member.name for member in self._mesh.swim.live_members()}
         waited_ms = now_ms - self._started_ms
         services = list(
-            self._mesh.view.services_with_front(catalogue.Front.PACKETS)
+            self._mesh.view.services_with_front(_entries.Front.PACKETS)
         )
         if now_ms >= self._next_weights_ms:
             self._next_weights_ms = now_ms + WEIGHTS_INTERVAL_MS
@@ -154,7 +154,7 @@
         )
 
     def _make_target_weights(
-        self, services: list[catalogue.ServiceEntry], now_ms: int
+        self, services: list[_entries.ServiceEntry], now_ms: int
     ) -> dict[str, tuple[flows.TargetWeight, ...]]:
         if now_ms >= self._next_even_load_ms:
             self._next_even_load_ms = now_ms + flows.EVEN_LOAD_INTERVAL_MS
@@ -163,7 +163,7 @@
                     entry.service, now_ms
                 )
                 for entry in services
-                if entry.objective == catalogue.Objective.EVEN_LOAD
+                if entry.objective == _entries.Objective.EVEN_LOAD
             }
         return {
             entry.service: tuple(
@@ -234,7 +234,7 @@
     return _clock.now_ms()
 
 
-def _target_weight(availability: membership.TargetAvailability) -> float:
+def _target_weight(availability: _registry.TargetAvailability) -> float:
     if not availability.is_accepting:
         return 0.0
     steps = max(1, int(availability.share * RAMP_STEPS))
--- a/bluebelltide/entry/_fronts.py
+++ b/bluebelltide/entry/_fronts.py
@@ -15,10 +15,10 @@
 from bluebelltide import _metrics
 from bluebelltide import _types
 from bluebelltide import admission
-from bluebelltide import catalogue
-from bluebelltide import membership
+from bluebelltide.catalogue import _entries
 from bluebelltide.catalogue import _view
 from bluebelltide.fronts import _tcp
+from bluebelltide.membership import _registry
 
 ACCEPT_QUIET_MS = 150
 """A stopping instance closes its listeners after this time without new
@@ -47,7 +47,7 @@
     def __init__(
         self,
         view: _view.CatalogueView,
-        registry: membership.TargetRegistry,
+        registry: _registry.TargetRegistry,
         data_centre: str,
         listen_host: str | None,
         metrics: _metrics.Metrics,
@@ -75,18 +75,18 @@
         """Updates fronts and listeners to match the catalogue."""
         desired = {
             (entry.service, address)
-            for entry in self._view.services_with_front(catalogue.Front.TCP)
+            for entry in self._view.services_with_front(_entries.Front.TCP)
             for address in entry.addresses
         }
         for key in set(self._listeners) - desired:
             await self._stop_listening(key)
-        for entry in self._view.services_with_front(catalogue.Front.TCP):
+        for entry in self._view.services_with_front(_entries.Front.TCP):
             self._apply_service(entry)
         if not self._is_stopping:
             for key in sorted(desired - set(self._listeners)):
                 await self._start_listening(key)
 
-    def _apply_service(self, entry: catalogue.ServiceEntry) -> None:
+    def _apply_service(self, entry: _entries.ServiceEntry) -> None:
         front = self.fronts.get(entry.service)
         if front is not None:
             front.admission.update_entry(entry)
@@ -153,7 +153,7 @@
 
     def usable_targets(
         self, service: _types.ServiceName, now_ms: int
-    ) -> list[membership.TargetAvailability]:
+    ) -> list[_registry.TargetAvailability]:
         """Returns the targets that this instance may use for a service.
 
         Targets of other data centres may be used only if none in the own data
--- a/bluebelltide/entry/_mesh.py
+++ b/bluebelltide/entry/_mesh.py
@@ -13,8 +13,8 @@
 from bluebelltide import _settings
 from bluebelltide import _types
 from bluebelltide import flows
-from bluebelltide import membership
 from bluebelltide.catalogue import _view
+from bluebelltide.membership import _registry
 from bluebelltide.membership import _swim
 from bluebelltide.peers import _frames
 from bluebelltide.peers import _links
@@ -62,7 +62,7 @@
         self,
         settings: _settings.Settings,
         peer_address: _types.Address,
-        registry: membership.TargetRegistry,
+        registry: _registry.TargetRegistry,
         view: _view.CatalogueView,
         metrics: _metrics.Metrics,
         tasks: anyio.abc.TaskGroup,
@@ -77,10 +77,10 @@
         self._metrics = metrics
         self._tasks = tasks
         incarnation = time.time_ns() // 1_000_000
-        own_member = membership.Member(
+        own_member = _swim.Member(
             settings.name,
             incarnation,
-            membership.MemberStatus.ALIVE,
+            _swim.MemberStatus.ALIVE,
             settings.data_centre,
             peer_address,
             False,
@@ -88,7 +88,7 @@
             if self._entry_settings.packet
             else None,
         )
-        self.swim = membership.Swim(own_member, incarnation)
+        self.swim = _swim.Swim(own_member, incarnation)
         self.hello = _frames.Hello(
             "entry", settings.name, str(incarnation), settings.data_centre
         )
@@ -108,7 +108,7 @@
 
     async def close(self) -> None:
         """Notifies the other instances that this one leaves as planned."""
-        self.swim.update_own_member(False, membership.MemberStatus.LEFT)
+        self.swim.update_own_member(False, _swim.MemberStatus.LEFT)
         ping = _swim.Ping(self.swim.own_member.name, 0, (self.swim.own_member,))
         with anyio.move_on_after(1):
             for link in list(self._outgoing_links.values()):
@@ -276,7 +276,7 @@
             self._metrics.count("member", after.status.name.lower())
         # A dead member may only be partitioned, so the link is still retried
         # until the member is removed.
-        if after.status == membership.MemberStatus.LEFT:
+        if after.status == _swim.MemberStatus.LEFT:
             self._drop_link(after.peer_address)
         else:
             self._maintain_link(after.peer_address)
--- a/bluebelltide/entry/_service.py
+++ b/bluebelltide/entry/_service.py
@@ -15,7 +15,6 @@
 from bluebelltide import _program
 from bluebelltide import _settings
 from bluebelltide import admission
-from bluebelltide import membership
 from bluebelltide.catalogue import _store
 from bluebelltide.catalogue import _view
 from bluebelltide.control import _service as control_service
@@ -23,6 +22,7 @@
 from bluebelltide.entry import _flows
 from bluebelltide.entry import _fronts
 from bluebelltide.entry import _mesh
+from bluebelltide.membership import _registry
 from bluebelltide.peers import _frames
 from bluebelltide.peers import _links
 
@@ -51,7 +51,7 @@
         self.entry_settings = settings.entry
         self.metrics = metrics
         self.view = _view.CatalogueView()
-        self.registry = membership.TargetRegistry()
+        self.registry = _registry.TargetRegistry()
         self._tasks = tasks
         self._control_links: set[_links.Link] = set()
         self._reported_versions: dict[str, int] = {}
--- a/bluebelltide/entry/tests/test_announce.py
+++ b/bluebelltide/entry/tests/test_announce.py
@@ -8,10 +8,10 @@
 from bluebelltide import _metrics
 from bluebelltide import _tokens
 from bluebelltide import _types
-from bluebelltide import catalogue
-from bluebelltide import membership
+from bluebelltide.catalogue import _entries
 from bluebelltide.catalogue import _view
 from bluebelltide.entry import _announce
+from bluebelltide.membership import _registry
 
 Code = _exceptions.ErrorCode
 
@@ -23,16 +23,16 @@
         """Creates the handler, a catalogue and an empty registry."""
         self.view = _view.CatalogueView()
         for number, name in enumerate(("a", "b")):
-            entry = catalogue.ServiceEntry(
+            entry = _entries.ServiceEntry(
                 name,
                 "team",
-                catalogue.ServiceClass.NORMAL,
+                _entries.ServiceClass.NORMAL,
                 (_types.Address("127.0.0.1", 8000 + number),),
                 (_tokens.hash_token(f"key-{name}"),),
             )
-            value = catalogue.encode_entry(entry)
+            value = _entries.encode_entry(entry)
             self.view.merge(_view.VersionedEntry(f"service/{name}", 1, value))
-        self.registry = membership.TargetRegistry()
+        self.registry = _registry.TargetRegistry()
         self.metrics = _metrics.create_metrics(None, "test")
         self.is_initialised = True
         self.handler = _announce.AnnounceHandler(
--- a/bluebelltide/entry/tests/test_fronts.py
+++ b/bluebelltide/entry/tests/test_fronts.py
@@ -8,10 +8,10 @@
 from bluebelltide import _metrics
 from bluebelltide import _types
 from bluebelltide import admission
-from bluebelltide import catalogue
-from bluebelltide import membership
+from bluebelltide.catalogue import _entries
 from bluebelltide.catalogue import _view
 from bluebelltide.entry import _fronts
+from bluebelltide.membership import _registry
 from bluebelltide.standins import _caller
 from bluebelltide.standins import _target
 
@@ -37,27 +37,27 @@
         self.address = _types.Address("127.0.0.1", find_free_port())
         self.metrics = _metrics.create_metrics(None, "test")
         self.view = _view.CatalogueView()
-        self.registry = membership.TargetRegistry()
+        self.registry = _registry.TargetRegistry()
         self.fronts = _fronts.FrontController(
             self.view, self.registry, "pos-a", None, self.metrics, tasks
         )
 
     async def start(
         self,
-        limits: catalogue.Limits | None = None,
+        limits: _entries.Limits | None = None,
         mode: str = "connections",
     ) -> None:
-        entry = catalogue.ServiceEntry(
+        entry = _entries.ServiceEntry(
             "svc",
             "team",
-            catalogue.ServiceClass.URGENT,
+            _entries.ServiceClass.URGENT,
             (self.address,),
             (),
-            admission_mode=catalogue.AdmissionMode(mode),
+            admission_mode=_entries.AdmissionMode(mode),
             refusal=REFUSAL,
-            limits=limits or catalogue.Limits(),
+            limits=limits or _entries.Limits(),
         )
-        value = catalogue.encode_entry(entry)
+        value = _entries.encode_entry(entry)
         self.view.merge(_view.VersionedEntry("service/svc", 1, value))
         await self.fronts.apply_catalogue()
         self.tasks.start_soon(self._tick)
@@ -167,7 +167,7 @@
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
             fixture = FrontFixture(tasks)
-            await fixture.start(catalogue.Limits(shed_grace_ms=50))
+            await fixture.start(_entries.Limits(shed_grace_ms=50))
             full = await fixture.add_target("full", sheds=True)
             full.open_connections = 99
             other = await fixture.add_target("other")
@@ -184,7 +184,7 @@
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
             fixture = FrontFixture(tasks)
-            limits = catalogue.Limits(deadline_ms=300)
+            limits = _entries.Limits(deadline_ms=300)
             await fixture.start(limits, "slots")
             standin = await fixture.add_target("t1", slots=1)
             answers: dict[int, _caller.Answer] = {}
--- a/bluebelltide/entry/tests/test_mesh.py
+++ b/bluebelltide/entry/tests/test_mesh.py
@@ -8,10 +8,10 @@
 from bluebelltide import _metrics
 from bluebelltide import _settings
 from bluebelltide import _types
-from bluebelltide import membership
 from bluebelltide.catalogue import _view
 from bluebelltide.entry import _mesh
 from bluebelltide.entry.tests import test_announce
+from bluebelltide.membership import _registry
 from bluebelltide.peers import _frames
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / "examples/demo/entry.json"
@@ -50,7 +50,7 @@
             mesh = _mesh.Mesh(
                 settings,
                 _types.Address("127.0.0.1", 7001),
-                membership.TargetRegistry(),
+                _registry.TargetRegistry(),
                 _view.CatalogueView(),
                 _metrics.create_metrics(None, "test"),
                 tasks,
--- a/bluebelltide/fronts/_packet.py
+++ b/bluebelltide/fronts/_packet.py
@@ -13,19 +13,19 @@
 from bluebelltide import _codes
 from bluebelltide import _metrics
 from bluebelltide import _types
-from bluebelltide import catalogue
 from bluebelltide import flows
-from bluebelltide import membership
+from bluebelltide.catalogue import _entries
 from bluebelltide.catalogue import _view
 from bluebelltide.fronts import _ip
 from bluebelltide.fronts import _relay
+from bluebelltide.membership import _registry
 
 
 class _MatchedPacket(NamedTuple):
     """A parsed packet and the service that it belongs to."""
 
     parsed: _ip.ParsedPacket
-    entry: catalogue.ServiceEntry
+    entry: _entries.ServiceEntry
     service_address: _types.Address
     """The address at which the caller reaches the service."""
     packet: flows.Packet
@@ -39,7 +39,7 @@
         self,
         engine: flows.RoutingEngine,
         view: _view.CatalogueView,
-        registry: membership.TargetRegistry,
+        registry: _registry.TargetRegistry,
         metrics: _metrics.Metrics,
         keys: _relay.KeyFile,
         send_to_fabric: Callable[[bytes], Awaitable[None]],
@@ -108,7 +108,7 @@
         if isinstance(parsed, _codes.DropCode):
             return parsed
         entry = self._view.service_for_address(parsed.destination)
-        if entry is not None and entry.front == catalogue.Front.PACKETS:
+        if entry is not None and entry.front == _entries.Front.PACKETS:
             flow = flows.FlowTuple(
                 parsed.protocol, parsed.source, parsed.destination
             )
--- a/bluebelltide/tests/test_shared.py
+++ b/bluebelltide/tests/test_shared.py
@@ -14,7 +14,7 @@
 from bluebelltide import _codes
 from bluebelltide import _exceptions
 from bluebelltide import _settings
-from bluebelltide import catalogue
+from bluebelltide.catalogue import _entries
 from bluebelltide.catalogue import _view
 from bluebelltide.peers import _frames
 
@@ -43,8 +43,8 @@
         _settings.PacketSettings,
         _settings.ControlSettings,
         _settings.TlsSettings,
-        catalogue.ServiceEntry,
-        catalogue.Limits,
+        _entries.ServiceEntry,
+        _entries.Limits,
     ],
 )
 def test_settings_page_has_every_field(record: type[tuple[object]]) -> None:
@@ -89,17 +89,17 @@
 
 def test_example_catalogue_is_unchanged_by_encoding_and_decoding() -> None:
     path = ROOT / "examples" / "demo" / "catalogue.json"
-    for key, entry in catalogue.read_catalogue(str(path)).items():
-        value = catalogue.encode_entry(entry)
-        assert catalogue.decode_entry(key, value) == entry
+    for key, entry in _entries.read_catalogue(str(path)).items():
+        value = _entries.encode_entry(entry)
+        assert _entries.decode_entry(key, value) == entry
 
 
 def test_an_address_belongs_to_one_service_only() -> None:
     path = ROOT / "examples" / "demo" / "catalogue.json"
-    entries = catalogue.read_catalogue(str(path))
+    entries = _entries.read_catalogue(str(path))
     first, second, *_ = sorted(entries)
     conflicting = entries[first]._replace(addresses=entries[second].addresses)  # type: ignore[call-arg, union-attr]
-    assert catalogue.check_unique_addresses({**entries, first: conflicting})
+    assert _entries.check_unique_addresses({**entries, first: conflicting})
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
@@ -112,8 +112,8 @@
 
 def test_view_never_reverts() -> None:
     path = ROOT / "examples" / "demo" / "catalogue.json"
-    key, entry = sorted(catalogue.read_catalogue(str(path)).items())[0]
-    value = catalogue.encode_entry(entry)
+    key, entry = sorted(_entries.read_catalogue(str(path)).items())[0]
+    value = _entries.encode_entry(entry)
     view = _view.CatalogueView()
     assert view.merge(_view.VersionedEntry(key, 2, value))
     assert not view.merge(_view.VersionedEntry(key, 1, None))
