--- a/bluebelltide/control/tests/test_concurrent_reads.py
+++ b/bluebelltide/control/tests/test_concurrent_reads.py
@@ -8,7 +8,7 @@
 
 from bluebelltide import _types
 from bluebelltide.control import _deployment_replica
-from bluebelltide.control.tests import test_deployment_replica
+from bluebelltide.control.tests import replica_network
 from bluebelltide.messaging import _calls
 from bluebelltide.tests import virtual_time
 
@@ -22,7 +22,7 @@
 
 
 def delay_calls(
-    network: test_deployment_replica.Network,
+    network: replica_network.Network,
     generator: random.Random,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -55,7 +55,7 @@
     uncertain: list[str] = []
 
     async def run() -> None:
-        async with test_deployment_replica.open_network(
+        async with replica_network.open_network(
             tmp_path, monkeypatch
         ) as network:
             monkeypatch.setattr(
@@ -98,7 +98,7 @@
     certain_reads = 0
 
     async def run() -> None:
-        async with test_deployment_replica.open_network(
+        async with replica_network.open_network(
             tmp_path, monkeypatch
         ) as network:
             delay_calls(network, generator, monkeypatch)
@@ -128,7 +128,7 @@
 
             async def cut_off_forever() -> None:
                 while True:
-                    host = generator.choice(test_deployment_replica.SEEDS)
+                    host = generator.choice(replica_network.SEEDS)
                     network.cut_off_hosts = {host}
                     await anyio.sleep(generator.uniform(0, 0.3))
                     network.cut_off_hosts = set()
--- a/bluebelltide/control/tests/test_disks_in_turn.py
+++ b/bluebelltide/control/tests/test_disks_in_turn.py
@@ -14,7 +14,7 @@
 
 from bluebelltide.catalogue import _store
 from bluebelltide.control import _deployment_replica
-from bluebelltide.control.tests import test_deployment_replica
+from bluebelltide.control.tests import replica_network
 from bluebelltide.messaging import _calls
 from bluebelltide.tests import virtual_time
 
@@ -109,7 +109,7 @@
     # Compactions happen in the faults, too.
     monkeypatch.setattr(_store, "COMPACT_AFTER_BYTES", 2000)
     timeout_ms = _deployment_replica.PROPOSAL_TIMEOUT_MS
-    hosts = list(test_deployment_replica.SEEDS)
+    hosts = list(replica_network.SEEDS)
     generator.shuffle(hosts)
     faults = [
         _DiskFault(host, 1 + number * (FAULT_S + GAP_S))
@@ -118,7 +118,7 @@
 
     async def run() -> _Operator:
         _install_disks(monkeypatch, faults, is_full)
-        async with test_deployment_replica.open_network(
+        async with replica_network.open_network(
             tmp_path, monkeypatch
         ) as network:
             monkeypatch.setattr(
--- a/bluebelltide/control/tests/test_start_on_full_disk.py
+++ b/bluebelltide/control/tests/test_start_on_full_disk.py
@@ -10,10 +10,10 @@
 from bluebelltide.catalogue.tests import test_store_full_disk
 from bluebelltide.control import _deployment_replica
 from bluebelltide.control import _direct_service
-from bluebelltide.control.tests import test_deployment_replica
+from bluebelltide.control.tests import replica_network
 from bluebelltide.tests import virtual_time
 
-HOST = test_deployment_replica.SEEDS[0]
+HOST = replica_network.SEEDS[0]
 STEPS = 10
 """At least as many refusable steps as a first start has."""
 
@@ -22,7 +22,7 @@
     folder: pathlib.Path,
 ) -> _deployment_replica.DeploymentReplica:
     settings = _deployment_replica.ReplicaSettings(
-        HOST, 7000, "dc", test_deployment_replica.SEEDS, folder, True, 3, 9600
+        HOST, 7000, "dc", replica_network.SEEDS, folder, True, 3, 9600
     )
     return _deployment_replica.DeploymentReplica(
         settings,
