--- a/bluebelltide/control/_deployment_replica.py
+++ b/bluebelltide/control/_deployment_replica.py
@@ -385,8 +385,12 @@
         key = _deployment.DEPLOYMENT_KEY
         with anyio.move_on_after(PROPOSAL_TIMEOUT_MS / 1000):
             for _ in range(QUERY_ATTEMPTS):
-                if await self._confirm_by_query(key):
+                finding = await self._query_voters(key)
+                if finding is _read_tally.Finding.KNOWN_IS_NEWEST:
                     return Outcome(True, self.committed_state(key))
+                if finding is _read_tally.Finding.OPEN:
+                    # Voters do not answer, so another query would not help.
+                    break
                 await anyio.sleep(QUERY_INTERVAL_MS / 1000)
             return await self._deployment_read.get()
         return UNCERTAIN
@@ -395,34 +399,39 @@
         """Reads a state through a proposal, which repairs voters that lag."""
         return await self._propose(key, _register.apply_read)
 
-    async def _confirm_by_query(self, key: str) -> bool:
+    async def _query_voters(self, key: str) -> _read_tally.Finding:
         """Asks the voters what they hold, and learns what is committed.
 
         Args:
             key: The register's key.
 
         Returns:
-            Whether the committed state known here is the newest one.
+            KNOWN_IS_NEWEST if no newer state is committed than is known here
+            now, UNDECIDED if the answers do not tell, and OPEN if too few
+            came in time.
         """
         voters = self.voters
         if voters is None:
-            return False
+            return _read_tally.Finding.OPEN
         known_version = self.committed_state(key).version
         tally = _read_tally.ReadTally(voters, known_version)
+        finding = _read_tally.Finding.OPEN
         request = _calls.Query(key)
         with anyio.move_on_after(_proposals.ATTEMPT_TIMEOUT_MS / 1000):
             replies = self._call_voters(voters.all_voters(), request)
             async for identity, answer in replies:
-                if not isinstance(answer, _calls.QueryAnswer):
-                    continue
-                finding = tally.add(identity, answer)
-                if finding is _read_tally.Finding.KNOWN_IS_NEWEST:
-                    return True
-                if finding is _read_tally.Finding.BALLOT_IS_COMMITTED:
-                    return self._learn_accepted(key, tally.committed_ballot)
-                if finding is _read_tally.Finding.UNDECIDED:
-                    return False
-        return False
+                if isinstance(answer, _calls.QueryAnswer):
+                    finding = tally.add(identity, answer)
+                if finding is not _read_tally.Finding.OPEN:
+                    break
+        if finding is _read_tally.Finding.BALLOT_IS_COMMITTED:
+            is_held = self._learn_accepted(key, tally.committed_ballot)
+            return (
+                _read_tally.Finding.KNOWN_IS_NEWEST
+                if is_held
+                else _read_tally.Finding.UNDECIDED
+            )
+        return finding
 
     def _learn_accepted(self, key: str, ballot: _register.Ballot) -> bool:
         """Learns the state of a committed ballot if this replica accepted it.
--- a/bluebelltide/control/tests/test_concurrent_reads.py
+++ b/bluebelltide/control/tests/test_concurrent_reads.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bluebelltide import _types
+from bluebelltide.catalogue import _register
 from bluebelltide.control import _deployment_replica
 from bluebelltide.control.tests import replica_network
 from bluebelltide.messaging import _calls
@@ -87,6 +88,55 @@
     assert uncertain == []
 
 
+def test_a_read_proposes_in_time_if_no_quorum_agrees(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One voter holds an interrupted change, and another one hangs."""
+    timeout_ms = _deployment_replica.PROPOSAL_TIMEOUT_MS
+
+    async def run() -> None:
+        async with replica_network.open_network(
+            tmp_path, monkeypatch
+        ) as network:
+            monkeypatch.setattr(
+                _deployment_replica, "PROPOSAL_TIMEOUT_MS", timeout_ms
+            )
+            first, second, third = network.replicas.values()
+            assert (await first.put(1, b"one")).is_certain
+            network.exchange_committed_states()
+            # The change reaches only the second replica's own disk.
+            await second.handle_call(
+                second.identity,
+                _register.Accept(
+                    replica_network.KEY,
+                    _register.Ballot(9, "interrupted"),
+                    1,
+                    _register.RegisterState(2, b"two"),
+                ),
+            )
+
+            async def call_or_hang(
+                address: _types.Address,
+                receiver: str,
+                request: _calls.Request,
+                call_timeout_ms: int,
+                local_host: str = "",
+            ) -> _calls.Answer | None:
+                if receiver == third.identity:
+                    await anyio.sleep(call_timeout_ms / 1000)
+                    return None
+                return await network.call(
+                    address, receiver, request, call_timeout_ms, local_host
+                )
+
+            monkeypatch.setattr(_calls, "call", call_or_hang)
+            outcome = await first.read()
+            assert outcome.is_certain
+            assert outcome.state.version == 2
+
+    virtual_time.run_in_virtual_time(run, monkeypatch)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_no_read_returns_less_than_was_certain_before_it_began(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, seed: int
