--- a/bluebelltide/bench/_scale.py
+++ b/bluebelltide/bench/_scale.py
@@ -73,6 +73,8 @@
     """Messages that a replica encodes for each change."""
     updates_per_change: float
     """Updates that an instance receives for each change."""
+    records_per_change: float
+    """Records that an instance receives for each change."""
     slowest_change_ms: int
     """The longest time from a change to the last instance that learned it."""
 
@@ -154,9 +156,9 @@
         if peers is not None:
             self._network.send(self.host, message.sender, peers)
 
-    def push(self, is_first_hand: bool) -> None:
+    def push(self, urgent_ids: tuple[str, ...] = ()) -> None:
         for outgoing in self.publisher.make_updates(
-            self._status, self._network.now_ms, is_first_hand
+            self._status, self._network.now_ms, urgent_ids
         ):
             self._network.send(self.host, outgoing.host, outgoing.encoded.data)
 
@@ -176,6 +178,7 @@
         self.host = f"10.{data_centre_number}.{number // 250}.{number % 250}"
         self.ready_ms: int | None = None
         self.updates = 0
+        self.records = 0
         self.learned_ms: dict[int, int] = {}
         self._network = network
         self._directory = _directory.TargetDirectory()
@@ -199,7 +202,9 @@
 
     def _send_poll(self, host: str) -> None:
         poll = self._poller.make_poll(
-            host, peers_version=self._reporter.peers_version
+            host,
+            peers_version=self._reporter.peers_version,
+            digest=self._directory.digest,
         )
         self._send(host, _datagrams.encode_datagram(poll))
 
@@ -251,6 +256,7 @@
             self._reporter.receive(message, now_ms)
         elif isinstance(message, _datagrams.Update):
             self.updates += bool(message.records)
+            self.records += len(message.records)
             for record in message.records:
                 self._directory.merge(record, now_ms)
                 self.learned_ms.setdefault(record.target.generation, now_ms)
@@ -333,6 +339,7 @@
         round(polls / REPLICAS / steady_s, 1),
         counts.encoded_per_change,
         counts.updates_per_change,
+        counts.records_per_change,
         counts.slowest_ms,
     )
 
@@ -342,6 +349,7 @@
 
     encoded_per_change: float
     updates_per_change: float
+    records_per_change: float
     slowest_ms: int
 
 
@@ -354,6 +362,7 @@
     """Changes targets; each change has a generation of its own."""
     encoded_before = sum(one.publisher.encoding_count for one in replicas)
     updates_before = sum(entry.updates for entry in entries)
+    records_before = sum(entry.records for entry in entries)
     network.loss = CHANGE_LOSS
     for number in range(CHANGES):
         changed = make_target(number % targets, 2 + number)
@@ -361,13 +370,16 @@
         network.run_until(CHANGE_FROM_MS + number * CHANGE_INTERVAL_MS)
         for replica in replicas:
             replica.merge(changed)
-            replica.push(is_first_hand=replica is first)
+            is_first_to_hear = replica is first
+            replica.push((changed.target_id,) if is_first_to_hear else ())
     network.run_until(END_MS)
     encoded = sum(one.publisher.encoding_count for one in replicas)
     updates = sum(entry.updates for entry in entries)
+    records = sum(entry.records for entry in entries)
     return _ChangeCounts(
         round((encoded - encoded_before) / REPLICAS / CHANGES, 2),
         round((updates - updates_before) / len(entries) / CHANGES, 2),
+        round((records - records_before) / len(entries) / CHANGES, 2),
         max(
             entry.learned_ms.get(2 + number, END_MS)
             - (CHANGE_FROM_MS + number * CHANGE_INTERVAL_MS)
--- a/bluebelltide/bench/tests/test_scale.py
+++ b/bluebelltide/bench/tests/test_scale.py
@@ -13,6 +13,8 @@
     )
     # A change is heard from the first replica and from the own data centre's.
     assert large.updates_per_change <= 2.5
+    # Each of them holds that change and hardly any other.
+    assert large.records_per_change <= 2.5
     # Polls at a replica grow with the instances, but no faster.
     assert large.replica_polls_per_s <= 2.2 * small.replica_polls_per_s
     # Instances that have polled since different changes need different
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -5,7 +5,7 @@
 updates to the entry instances and the other replicas when something changes.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import random
 
 import anyio
@@ -192,14 +192,15 @@
                 sequence=target.sequence,
                 cold_remaining_ms=target.cold_remaining_ms,
             )
-            self._push_update()
+            is_draining = target.state == _types.TargetState.DRAINING
+            self._push_update((target.target_id,) if is_draining else ())
 
     def deregister_target(self, target_id: _types.TargetId) -> None:
         """Records that a target leaves."""
         if self.directory.mark_as_left(target_id, _clock.now_ms()):
             self._metrics.count("target", "left")
             events.write("target_left", target=target_id)
-            self._push_update()
+            self._push_update((target_id,))
 
     async def _serve_call(self, stream: anyio.abc.SocketStream) -> None:
         await _calls.serve_call(stream, self.deployment_replica.handle_call)
@@ -268,10 +269,10 @@
             ).version,
         )
 
-    def _push_update(self, is_first_hand: bool = True) -> None:
+    def _push_update(self, urgent_ids: Iterable[_types.TargetId] = ()) -> None:
         """Sends a change to other processes; see `UpdateSender.push`."""
         if self._update_sender is not None:
-            self._update_sender.push(is_first_hand)
+            self._update_sender.push(urgent_ids)
 
     def _send(self, host: str, message: _datagrams.Message) -> None:
         self._send_data(host, _datagrams.encode_datagram(message))
@@ -318,7 +319,7 @@
             # An entry instance may be unable to reach the replica that sent
             # the change, so this replica forwards it. A record that is already
             # known is not forwarded, so forwarding ends.
-            self._push_update(is_first_hand=False)
+            self._push_update()
 
     def _fetch_newer_states(self, update: _datagrams.Update) -> None:
         voters = self.deployment_replica.committed_voters
@@ -402,7 +403,7 @@
                 "target_not_confirmed", target=target_id, silent_ms=listened_ms
             )
         if expired or unconfirmed:
-            self._push_update()
+            self._push_update((*expired, *unconfirmed))
 
     async def _confirm_and_plan_forever(self) -> None:
         while True:
--- a/bluebelltide/control/_update_publisher.py
+++ b/bluebelltide/control/_update_publisher.py
@@ -7,11 +7,12 @@
 An update is encoded once for all receivers that know the same changes.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 import xxhash
 
+from bluebelltide import _types
 from bluebelltide.control import _voter_replacement
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _peer_ring
@@ -101,17 +102,27 @@
         self.encoding_count = 0
         self._pollers: dict[str, _Poller] = {}
         self._basis: _Basis | None = None
-        self._encoded_updates: dict[int, EncodedUpdate] = {}
+        self._told_status: ReplicaStatus | None = None
+        self._encoded_updates: dict[tuple[int, bool], EncodedUpdate] = {}
         self._ring = _peer_ring.PeerRing({})
         self._ring_made_ms = -RING_INTERVAL_MS
         self._peer_lists: dict[str, tuple[int, bytes]] = {}
 
     def record_poll(self, poll: _datagrams.Poll, now_ms: int) -> None:
         """Records which process polls and which changes it knows."""
-        self._pollers[poll.sender] = _Poller(poll, now_ms)
+        if self._lacks_no_target(poll):
+            poll = poll._replace(
+                run_id=self._run_id, known_index=self._directory.last_index
+            )
+        # The digest is that of this moment; later updates must not rely on it.
+        self._pollers[poll.sender] = _Poller(poll._replace(digest=0), now_ms)
         if poll.replica is not None:
             self.record_replica(poll.replica, now_ms)
 
+    def _lacks_no_target(self, poll: _datagrams.Poll) -> bool:
+        """Returns whether a poll's sender knows all targets that live."""
+        return poll.digest != 0 and poll.digest == self._directory.digest
+
     def record_replica(self, replica: _datagrams.Replica, now_ms: int) -> None:
         """Records that a datagram of another replica arrived."""
         if replica.identity != self._own_replica.identity:
@@ -135,6 +146,7 @@
             The update for the poll's sender.
         """
         index = poll.known_index if poll.run_id == self._run_id else 0
+        is_informed = self._lacks_no_target(poll)
         basis = _Basis(
             self._directory.last_index, status, self._live_replicas(now_ms)
         )
@@ -142,22 +154,35 @@
         if basis != self._basis or is_full:
             self._basis = basis
             self._encoded_updates.clear()
-        encoded = self._encoded_updates.get(index)
+        encoded = self._encoded_updates.get((index, is_informed))
         if encoded is None:
-            encoded = self._encode_update(index, basis)
-            self._encoded_updates[index] = encoded
+            encoded = self._encode_update(index, is_informed, basis)
+            self._encoded_updates[index, is_informed] = encoded
         return encoded
 
-    def _encode_update(self, index: int, basis: _Basis) -> EncodedUpdate:
-        """Creates the update for receivers that know changes up to `index`."""
+    def _encode_update(
+        self, index: int, is_informed: bool, basis: _Basis
+    ) -> EncodedUpdate:
+        """Creates the update for receivers that know changes up to `index`.
+
+        Args:
+            index: The index of the last change that they know.
+            is_informed: Whether they know all live targets from other
+                replicas. They then get only tombstones, without which an
+                outdated replica could make them use a target that left.
+            basis: What the update is made from besides.
+        """
         changes = self._directory.changes_since(index)
+        if is_informed:
+            changes = [one for one in changes if one.record.has_left]
         batch = changes[: _datagrams.RECORDS_PER_UPDATE]
+        has_more = len(changes) > len(batch)
         update = _datagrams.Update(
             self._own_replica,
             self._run_id,
             index,
-            batch[-1].change_index if batch else basis.last_index,
-            len(changes) > len(batch),
+            batch[-1].change_index if has_more else basis.last_index,
+            has_more,
             basis.status.has_complete_view,
             basis.status.deployment_version,
             basis.status.voters_version,
@@ -253,29 +278,37 @@
         ]
 
     def make_updates(
-        self, status: ReplicaStatus, now_ms: int, is_first_hand: bool = True
+        self,
+        status: ReplicaStatus,
+        now_ms: int,
+        urgent_ids: Sequence[_types.TargetId] = (),
     ) -> list[OutgoingUpdate]:
         """Creates updates for the processes that polled recently.
 
+        An instance gets the changes from the replica in its own data centre.
+        From the others it gets only what cannot wait until it polls them,
+        should its own replica have failed just now.
+
         Args:
             status: What to report besides the targets.
             now_ms: The current time.
-            is_first_hand: Whether a change did not come from another replica.
-                A change that did is not repeated to instances to which that
-                replica and the one in their own data centre send it.
+            urgent_ids: The targets that must get no more flows, if this
+                replica heard of it itself.
         """
         live_data_centres = {
             replica.data_centre for replica in self._live_replicas(now_ms)
         }
-        updates = []
+        partial_updates = self._make_partial_updates(status, urgent_ids, now_ms)
+        updates: list[OutgoingUpdate] = []
         for host, poller in list(self._pollers.items()):
             if now_ms - poller.last_seen_ms > POLLER_TIMEOUT_MS:
                 del self._pollers[host]
                 continue
             poll = poller.latest_poll
-            if not is_first_hand and self._has_nearer_replica(
-                poll, live_data_centres
-            ):
+            if self._has_nearer_replica(poll, live_data_centres):
+                updates.extend(
+                    OutgoingUpdate(host, encoded) for encoded in partial_updates
+                )
                 continue
             encoded = self.answer_poll(poll, status, now_ms)
             updates.append(OutgoingUpdate(host, encoded))
@@ -288,6 +321,55 @@
             )
         return updates
 
+    def _make_partial_updates(
+        self,
+        status: ReplicaStatus,
+        urgent_ids: Sequence[_types.TargetId],
+        now_ms: int,
+    ) -> list[EncodedUpdate]:
+        """Creates updates without the changes that may wait."""
+        records = [
+            record
+            for target_id in urgent_ids
+            if (record := self._directory.get(target_id)) is not None
+        ]
+        has_news = status != self._told_status
+        self._told_status = status
+        if not records and not has_news:
+            return []
+        size = _datagrams.RECORDS_PER_UPDATE
+        batches = [
+            tuple(records[start : start + size])
+            for start in range(0, max(1, len(records)), size)
+        ]
+        return [
+            self._encode_partial_update(batch, status, now_ms)
+            for batch in batches
+        ]
+
+    def _encode_partial_update(
+        self,
+        records: tuple[_directory.TargetRecord, ...],
+        status: ReplicaStatus,
+        now_ms: int,
+    ) -> EncodedUpdate:
+        update = _datagrams.Update(
+            self._own_replica,
+            self._run_id,
+            0,
+            0,
+            False,
+            False,
+            status.deployment_version,
+            status.voters_version,
+            self._live_replicas(now_ms),
+            records,
+            status.unconfirmed_version,
+            is_partial=True,
+        )
+        self.encoding_count += 1
+        return EncodedUpdate(update, _datagrams.encode_datagram(update))
+
     def _has_nearer_replica(
         self, poll: _datagrams.Poll, live_data_centres: set[str]
     ) -> bool:
--- a/bluebelltide/control/_update_sender.py
+++ b/bluebelltide/control/_update_sender.py
@@ -1,11 +1,12 @@
 """Sends each change of a control replica to the processes that poll it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 import anyio.abc
 
 from bluebelltide import _clock
+from bluebelltide import _types
 from bluebelltide.control import _update_publisher
 
 PUSH_INTERVAL_MS = 20
@@ -39,16 +40,16 @@
         self._tasks = tasks
         self._last_round_ms = -PUSH_INTERVAL_MS
         self._is_round_pending = False
-        self._is_pending_first_hand = False
+        self._urgent_ids: dict[_types.TargetId, None] = {}
 
-    def push(self, is_first_hand: bool) -> None:
+    def push(self, urgent_ids: Iterable[_types.TargetId] = ()) -> None:
         """Sends an update now, or soon if one was sent just before.
 
         Args:
-            is_first_hand: Whether the change did not come from another
-                replica.
+            urgent_ids: The targets that this replica heard must get no more
+                flows.
         """
-        self._is_pending_first_hand |= is_first_hand
+        self._urgent_ids.update(dict.fromkeys(urgent_ids))
         if self._is_round_pending:
             return
         wait_ms = self._last_round_ms + PUSH_INTERVAL_MS - _clock.now_ms()
@@ -65,10 +66,10 @@
 
     def _push_now(self) -> None:
         now_ms = _clock.now_ms()
-        is_first_hand = self._is_pending_first_hand
+        urgent_ids = tuple(self._urgent_ids)
         self._last_round_ms = now_ms
-        self._is_pending_first_hand = False
+        self._urgent_ids.clear()
         for outgoing in self._publisher.make_updates(
-            self._read_status(), now_ms, is_first_hand
+            self._read_status(), now_ms, urgent_ids
         ):
             self._send(outgoing.host, outgoing.encoded.data)
--- a/bluebelltide/control/tests/test_update_publisher.py
+++ b/bluebelltide/control/tests/test_update_publisher.py
@@ -144,7 +144,13 @@
     assert publisher.encoding_count - before <= 2
 
 
-def test_a_change_from_another_replica_is_repeated_where_it_is_needed() -> None:
+def make_publisher_with_pollers() -> tuple[
+    _update_publisher.UpdatePublisher, _directory.TargetDirectory
+]:
+    """Makes a publisher that instances of three data centres poll.
+
+    North is its own, south has a replica of its own, and west has none.
+    """
     publisher, directory = make_publisher(1)
     publisher.record_replica(_datagrams.Replica("10.0.0.2~0", "south"), 0)
     for host, data_centre in (
@@ -154,17 +160,70 @@
     ):
         publisher.record_poll(poll_from(host, data_centre), now_ms=0)
     publisher.make_updates(STATUS, 0)
+    return publisher, directory
+
+
+def test_an_instance_gets_changes_from_the_replica_of_its_data_centre() -> None:
+    publisher, directory = make_publisher_with_pollers()
+    directory.merge(
+        _directory.TargetRecord(test_directory.make_target("new", port=9)), 1
+    )
+    updates = publisher.make_updates(STATUS, 1)
+    assert {one.host for one in updates} == {"10.0.0.7", "10.0.0.9"}
+
+
+def test_what_is_urgent_goes_to_all_from_the_replica_that_heard_it() -> None:
+    publisher, directory = make_publisher_with_pollers()
+    directory.merge(
+        _directory.TargetRecord(test_directory.make_target("new", port=9)), 1
+    )
     directory.mark_as_left("i-0", 1)
-    repeated = publisher.make_updates(STATUS, 1, is_first_hand=False)
-    # South has a replica of its own, west has none.
-    assert {one.host for one in repeated} == {"10.0.0.7", "10.0.0.9"}
-    # The next update to south begins where its last one ended.
+    updates = {
+        one.host: one.encoded.update
+        for one in publisher.make_updates(STATUS, 1, ("i-0",))
+    }
+    assert set(updates) == {"10.0.0.7", "10.0.0.8", "10.0.0.9"}
+    partial = updates["10.0.0.8"]
+    assert partial.is_partial
+    assert not partial.has_complete_view
+    assert [one.target.target_id for one in partial.records] == ["i-0"]
+    assert len(updates["10.0.0.7"].records) == 2
+    # What the replica reports of itself is news to all, too.
+    newer = STATUS._replace(deployment_version=STATUS.deployment_version + 1)
+    hosts = {one.host for one in publisher.make_updates(newer, 2)}
+    assert "10.0.0.8" in hosts
+    hosts = {one.host for one in publisher.make_updates(newer, 3)}
+    assert "10.0.0.8" not in hosts
+
+
+def test_an_instance_that_knows_all_targets_gets_only_tombstones() -> None:
+    publisher, directory = make_publisher(40)
+    known = _directory.TargetDirectory()
+    for record in directory.records():
+        known.merge(record, 0)
+    for number in range(20):
+        directory.mark_as_left(f"i-{number}", 1)
+        known.mark_as_left(f"i-{number}", 1)
+    poll = poll_from("10.0.0.9")._replace(digest=known.digest)
+    publisher.record_poll(poll, 2)
+    first = publisher.answer_poll(poll, STATUS, 2).update
+    assert len(first.records) == _datagrams.RECORDS_PER_UPDATE
+    assert first.has_more
+    poll = poll._replace(run_id=7, known_index=first.last_index)
+    second = publisher.answer_poll(poll, STATUS, 3).update
+    assert all(one.has_left for one in (*first.records, *second.records))
+    assert len(second.records) == 20 - _datagrams.RECORDS_PER_UPDATE
+    assert not second.has_more
+    assert second.last_index == directory.last_index
+    # The next update begins after all that.
     directory.merge(
-        _directory.TargetRecord(test_directory.make_target("new", port=9)), 2
+        _directory.TargetRecord(test_directory.make_target("new", port=99)), 3
     )
-    updates = {one.host: one for one in publisher.make_updates(STATUS, 2)}
-    assert updates["10.0.0.8"].encoded.update.first_index == 1
-    assert updates["10.0.0.7"].encoded.update.first_index == 2
+    (outgoing,) = publisher.make_updates(STATUS, 4)
+    assert len(outgoing.encoded.update.records) == 1
+    # An instance with other targets gets them all.
+    other = poll_from("10.0.0.8")._replace(digest=known.digest)
+    assert publisher.answer_poll(other, STATUS, 5).update.has_more
 
 
 def test_a_poll_with_an_index_of_another_run_gets_all_records() -> None:
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -45,6 +45,10 @@
 data centre to offer a new deployment before it fetches it from another."""
 STOP_DELAY_MS = 2500
 """How long a stopping instance forwards packets after it became unready."""
+FEW_TARGETS = 256
+"""Up to how many targets a change is applied at once."""
+APPLY_DELAY_MS_PER_TARGET = 0.02
+"""How long a change waits for further ones, for each known target."""
 EXPIRY_INTERVAL_MS = 90
 """Minimum time between two searches for overdue answers and idle flows."""
 
@@ -113,6 +117,7 @@
         self._pause_watch = _pause_watch.PauseWatch(_clock.boot_ms())
         self._is_stopping = False
         self._is_fetching = False
+        self._is_applying_targets = False
         self._is_confirmed = False
         # The replica to fetch a newer deployment from.
         self._offering_replica = _datagrams.Replica("", "")
@@ -236,15 +241,17 @@
             has_changed |= self._directory.merge(record, now_ms)
         if self._replica_poller.receive(update, now_ms):
             self._send_poll(update.replica.host)
-        has_complete_view = update.has_complete_view and not update.has_more
+        has_all = not (update.has_more or update.is_partial)
+        has_complete_view = update.has_complete_view and has_all
         if has_complete_view and not self._front.has_all_targets:
+            self._apply_targets()
             self._front.has_all_targets = True
             events.write("targets_complete", replica=update.replica.identity)
-        if has_changed:
-            self._apply_targets()
+        elif has_changed:
+            self._apply_targets_soon()
         if self._should_fetch_deployment(update):
             self._start_fetch(update.replica)
-        elif not update.has_more:
+        elif has_all:
             self._front.is_view_current = True
 
     def _should_fetch_deployment(self, update: _datagrams.Update) -> bool:
@@ -267,6 +274,28 @@
             self._is_fetching = True
             self._tasks.start_soon(self._fetch_guarded)
 
+    def _apply_targets_soon(self) -> None:
+        """Applies changed targets now, or a little later if they are many.
+
+        The work grows with the number of all targets. While many change, the
+        changes of some time share it.
+        """
+        if self._is_applying_targets:
+            return
+        target_count = self._directory.record_count
+        if target_count < FEW_TARGETS or self._tasks is None:
+            self._apply_targets()
+            return
+        self._is_applying_targets = True
+        delay_ms = APPLY_DELAY_MS_PER_TARGET * target_count
+        self._tasks.start_soon(self._apply_targets_later, delay_ms)
+
+    async def _apply_targets_later(self, delay_ms: float) -> None:
+        await anyio.sleep(delay_ms / 1000)
+        self._is_applying_targets = False
+        with _guard.log_errors("applying targets"):
+            self._apply_targets()
+
     def _apply_targets(self) -> None:
         known, accepting = _token_front.index_targets_by_token(
             list(self._directory.incarnations()),
@@ -345,7 +374,9 @@
 
     def _send_poll(self, host: str) -> None:
         poll = self._replica_poller.make_poll(
-            host, peers_version=self._reporter.peers_version
+            host,
+            peers_version=self._reporter.peers_version,
+            digest=self._directory.digest,
         )
         self._send_datagram(host, _datagrams.encode_datagram(poll))
 
--- a/bluebelltide/entry/tests/test_datagram_fuzzing.py
+++ b/bluebelltide/entry/tests/test_datagram_fuzzing.py
@@ -47,12 +47,14 @@
     strategies.lists(REPLICAS, max_size=3).map(tuple),
     strategies.lists(RECORDS, max_size=3).map(tuple),
     INTEGERS,
+    strategies.booleans(),
 )
 LOAD_REPORTS = strategies.builds(
     _datagrams.LoadReport,
     TEXTS,
     strategies.dictionaries(INTEGERS, INTEGERS, max_size=4),
     strategies.lists(INTEGERS, max_size=4).map(tuple),
+    strategies.dictionaries(INTEGERS, INTEGERS, max_size=4),
 )
 PEER_LISTS = strategies.builds(
     _datagrams.PeerList, INTEGERS, HOSTS, HOSTS, INTEGERS
--- a/bluebelltide/membership/_directory.py
+++ b/bluebelltide/membership/_directory.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+import xxhash
+
 from bluebelltide import _types
 
 TOMBSTONE_MS = 90_000
@@ -63,12 +65,33 @@
     )
 
 
+def _hash_record(record: TargetRecord) -> int:
+    """Hashes what other processes need of a record; 0 if it has left."""
+    if record.has_left:
+        return 0
+    target = record.target
+    content = (
+        f"{target.target_id}|{target.generation}|{target.state}|"
+        f"{target.address}|{target.service}|{target.slots}|"
+        f"{target.cold_remaining_ms > 0}"
+    )
+    return xxhash.xxh64_intdigest(content.encode())
+
+
 class TargetDirectory:
-    """The records of all targets that one process knows."""
+    """The records of all targets that one process knows.
+
+    Attributes:
+        last_index: The index of the last change.
+        digest: A hash of the targets that have not left, whatever the order
+            of the changes; 0 if there are none.
+    """
 
     def __init__(self) -> None:
         """Creates an empty directory."""
         self.last_index = 0
+        self.digest = 0
+        self._hashes: dict[_types.TargetId, int] = {}
         self._records: dict[_types.TargetId, TargetRecord] = {}
         self._change_indexes: dict[_types.TargetId, int] = {}
         # The same changes by index, oldest first.
@@ -99,12 +122,18 @@
         self._last_merged_ms[target_id] = now_ms
         if not is_material_change(known, record):
             return False
+        self._set_hash(target_id, _hash_record(record))
         self._forget_change(target_id)
         self.last_index += 1
         self._change_indexes[target_id] = self.last_index
         self._changes[self.last_index] = target_id
         return True
 
+    def _set_hash(self, target_id: _types.TargetId, value: int) -> None:
+        self.digest ^= self._hashes.pop(target_id, 0) ^ value
+        if value:
+            self._hashes[target_id] = value
+
     def renew(
         self, target_id: _types.TargetId, sequence: int, now_ms: int
     ) -> None:
@@ -189,6 +218,11 @@
         changed.reverse()
         return changed
 
+    @property
+    def record_count(self) -> int:
+        """How many records there are, tombstones included."""
+        return len(self._records)
+
     def records(self) -> list[TargetRecord]:
         """Returns all records, tombstones included."""
         return list(self._records.values())
--- a/bluebelltide/membership/_replica_poller.py
+++ b/bluebelltide/membership/_replica_poller.py
@@ -116,7 +116,11 @@
         return hosts[self._poll_count % len(hosts)]
 
     def make_poll(
-        self, host: str, renewals: bytes = b"", peers_version: int = 0
+        self,
+        host: str,
+        renewals: bytes = b"",
+        peers_version: int = 0,
+        digest: int = 0,
     ) -> _datagrams.Poll:
         """Returns the poll to send to a replica's machine.
 
@@ -124,6 +128,7 @@
             host: The address of the machine.
             renewals: Lease renewals to send with the poll, packed.
             peers_version: The version of the peer list that is in use.
+            digest: The digest of the targets that this process knows.
 
         Returns:
             The poll.
@@ -137,6 +142,7 @@
             cursor.known_index,
             renewals,
             peers_version,
+            digest,
         )
 
     def receive(self, update: _datagrams.Update, now_ms: int) -> bool:
@@ -158,6 +164,8 @@
             return False
         contact = self._contacts[host]
         self._contacts[host] = contact._replace(last_received_ms=now_ms)
+        if update.is_partial:
+            return False
         has_more = self._advance_cursor(host, update)
         return self._may_poll_at_once(host, has_more, now_ms)
 
--- a/bluebelltide/messaging/_datagrams.py
+++ b/bluebelltide/messaging/_datagrams.py
@@ -52,6 +52,9 @@
     `pack_renewals`."""
     peers_version: int = 0
     """The `PeerList.version` that the sender uses; 0 if none."""
+    digest: int = 0
+    """The `TargetDirectory.digest` of the sender; 0 if none. A sender with the
+    digest of the replica lacks no live target, whatever `known_index` says."""
 
 
 class Update(NamedTuple):
@@ -86,6 +89,9 @@
     """The newest version of the deployment that entry instances may fetch.
     After a restart the replica does not know whether it is committed, and it
     may be newer or older than the newest committed one."""
+    is_partial: bool = False
+    """Whether the records are urgent changes only. The receiver learns the
+    others from another replica, so `last_index` says nothing."""
 
 
 class PeerList(NamedTuple):
