--- a/bluebelltide/entry/tests/test_direct_service.py
+++ b/bluebelltide/entry/tests/test_direct_service.py
@@ -11,6 +11,7 @@
 from bluebelltide.membership import _directory
 from bluebelltide.membership.tests import test_directory
 from bluebelltide.messaging import _datagrams
+from bluebelltide.tests import virtual_time
 
 
 def make_entry() -> _direct_service.DirectEntry:
@@ -104,6 +105,63 @@
     assert [target.target_id for target in live] == ["new"]
 
 
+def test_a_partial_update_tells_only_of_its_own_records() -> None:
+    entry = make_entry()
+    target = test_directory.make_target("i-00ff", port=9)
+    update = make_update(-1, -1)._replace(
+        records=(_directory.TargetRecord(target),), is_partial=True
+    )
+    entry._front.is_view_current = False
+    entry._on_update(update, now_ms=0)
+    assert entry._front._endpoints
+    assert not entry._front.has_all_targets
+    assert not entry._front.is_view_current
+    entry._on_update(make_update(-1, -1), now_ms=1)
+    assert entry._front.has_all_targets
+    assert entry._front.is_view_current
+
+
+def test_changes_among_many_targets_are_applied_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    entry = make_entry()
+    count = 2 * _direct_service.FEW_TARGETS
+    applied: list[int] = []
+    use_targets = entry._front.use_targets
+
+    def count_and_use(
+        known: dict[int, _types.Target], accepting: dict[int, _types.Target]
+    ) -> None:
+        applied.append(len(known))
+        use_targets(known, accepting)
+
+    monkeypatch.setattr(entry._front, "use_targets", count_and_use)
+
+    def receive(number: int) -> None:
+        name = f"i-{number:04x}"
+        target = test_directory.make_target(name, port=number + 1)
+        update = make_update(-1, -1)._replace(
+            records=(_directory.TargetRecord(target),),
+            has_complete_view=False,
+        )
+        entry._on_update(update, now_ms=number)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            entry._tasks = tasks
+            for number in range(count):
+                receive(number)
+            # The last update of the first round completes the view.
+            entry._on_update(make_update(-1, -1), now_ms=count)
+            assert applied[-1] == count
+            applied.clear()
+            for number in range(count, count + 20):
+                receive(number)
+
+    virtual_time.run_in_virtual_time(run, monkeypatch)
+    assert applied == [count + 20]
+
+
 @pytest.mark.parametrize(
     "loop", ["_maintain_forever", "_poll_replicas_forever"]
 )
--- a/bluebelltide/membership/tests/test_directory.py
+++ b/bluebelltide/membership/tests/test_directory.py
@@ -49,6 +49,32 @@
     assert final_records == {records[3]}
 
 
+def test_the_digest_tells_whether_the_same_targets_live() -> None:
+    draining = _types.TargetState.DRAINING
+    records = [
+        _directory.TargetRecord(make_target("i-1", sequence=1)),
+        _directory.TargetRecord(make_target("i-1", sequence=2, state=draining)),
+        _directory.TargetRecord(make_target("i-1", sequence=3), has_left=True),
+        _directory.TargetRecord(make_target("i-2", sequence=1, port=81)),
+        _directory.TargetRecord(make_target("i-2", sequence=2, port=81)),
+        _directory.TargetRecord(make_target("i-3", port=82), has_left=True),
+    ]
+    digests: dict[frozenset[tuple[str, str]], int] = {}
+    for size in range(len(records) + 1):
+        for chosen in itertools.permutations(records, size):
+            directory = _directory.TargetDirectory()
+            for record in chosen:
+                directory.merge(record, now_ms=0)
+            live = frozenset(
+                (one.target_id, one.state) for one in directory.live_targets()
+            )
+            assert digests.setdefault(live, directory.digest) == (
+                directory.digest
+            )
+    assert digests[frozenset()] == 0
+    assert len(set(digests.values())) == len(digests) == 6
+
+
 @pytest.mark.parametrize(
     ("later", "is_material"),
     [
