--- a/bluebelltide/bench/__main__.py
+++ b/bluebelltide/bench/__main__.py
@@ -20,6 +20,7 @@
 from bluebelltide.bench import _flows
 from bluebelltide.bench import _load
 from bluebelltide.bench import _overload
+from bluebelltide.bench import _overload_users
 from bluebelltide.bench import _report
 from bluebelltide.bench import _report_plot
 from bluebelltide.bench import _scale
@@ -136,7 +137,7 @@
     """
 
     def run() -> None:
-        _check_choice("--users", users, _overload.USERS)
+        _check_choice("--users", users, _overload_users.USERS)
         _check_choice("--policy", policy, _overload.POLICIES)
         _check_choice("--scenario", scenario, _overload.SCENARIOS)
         options = _overload.Options(users, load, policy, scenario, seed)
--- a/bluebelltide/bench/_overload.py
+++ b/bluebelltide/bench/_overload.py
@@ -6,7 +6,6 @@
 """
 
 from collections import Counter
-from collections import deque
 from collections.abc import Callable
 import functools
 import itertools
@@ -19,6 +18,8 @@
 from bluebelltide import _types
 from bluebelltide import admission
 from bluebelltide.bench import _clock
+from bluebelltide.bench import _overload_targets
+from bluebelltide.bench import _overload_users
 from bluebelltide.bench import _weighted
 from bluebelltide.catalogue import _entries
 from bluebelltide.membership import _registry
@@ -29,8 +30,6 @@
 """Mean delay until an instance receives a report."""
 LOCAL_DELAY_MS = 0.25
 """One-way delay within a data centre."""
-BACKLOG_PER_SLOT = 1
-"""How many requests wait inside a target, for each slot, before it sheds."""
 CONNECT_TIMEOUT_MS = 1000
 """How long a connection attempt to a dead target takes to fail."""
 TICK_INTERVAL_MS = 20
@@ -47,92 +46,6 @@
 """What happens to one target of each service."""
 
 
-class ServiceModel(NamedTuple):
-    """One service of a user."""
-
-    name: str
-    """The name of the service."""
-    target_count: int
-    """The number of its targets."""
-    slots: int
-    """The number of slots of each target."""
-    service_ms: float
-    """The mean time that a request occupies a slot."""
-    late_after_ms: float
-    """The time after which an answer is late."""
-    service_class: _entries.ServiceClass
-    """The class of the service."""
-    caller_count: int
-    """The number of callers; a tenth of them send more than half."""
-
-
-class UserModel(NamedTuple):
-    """One user's deployment."""
-
-    instances: int
-    """The number of entry instances."""
-    data_centres: int
-    """The number of data centres."""
-    data_centre_delay_ms: float
-    """One-way delay between data centres."""
-    services: tuple[ServiceModel, ...]
-    """The services."""
-
-
-USERS = {
-    "caroni": UserModel(
-        9,
-        4,
-        5.0,
-        (
-            ServiceModel(
-                "reminder-svc",
-                7,
-                3,
-                60.0,
-                1000.0,
-                _entries.ServiceClass.URGENT,
-                400,
-            ),
-            ServiceModel(
-                "statement-svc",
-                4,
-                3,
-                250.0,
-                4000.0,
-                _entries.ServiceClass.NORMAL,
-                80,
-            ),
-        ),
-    ),
-    "khuvsgul": UserModel(
-        8,
-        4,
-        3.5,
-        (
-            ServiceModel(
-                "camp-dispatch",
-                7,
-                2,
-                80.0,
-                1000.0,
-                _entries.ServiceClass.URGENT,
-                300,
-            ),
-            ServiceModel(
-                "quality-archive",
-                4,
-                2,
-                400.0,
-                6000.0,
-                _entries.ServiceClass.BACKGROUND,
-                40,
-            ),
-        ),
-    ),
-}
-
-
 class Options(NamedTuple):
     """The settings of the experiment."""
 
@@ -148,111 +61,6 @@
     """The seed of every random choice."""
 
 
-class _Request:
-    """One request; its caller must get exactly one outcome."""
-
-    def __init__(
-        self, number: int, service: ServiceModel, caller: str, now_ms: float
-    ) -> None:
-        self.number = number
-        self.service = service
-        self.caller = caller
-        self.arrived_ms = now_ms
-        self.service_ms = 0.0
-        self.run_count = 0
-        self.outcome = ""
-        self.attempts = 0
-        self.on_outcome: Callable[[str], None] | None = None
-
-    def set_outcome(self, outcome: str, counts: Counter[str]) -> None:
-        if self.outcome:
-            counts["two_outcomes"] += 1
-            return
-        self.outcome = outcome
-
-
-class _Target:
-    """A stand-in target with slots and a backlog."""
-
-    def __init__(
-        self,
-        clock: _clock.FakeClock,
-        service: ServiceModel,
-        name: str,
-        data_centre: int,
-    ) -> None:
-        self.clock = clock
-        self.service = service
-        self.name = name
-        self.data_centre = data_centre
-        self.is_up = True
-        self.slowdown_factor = 1.0
-        self.false_load_percent: int | None = None
-        self.started_ms = 0.0
-        self.has_started_cold = False
-        self.busy_slots = 0
-        self.busy_ms = 0.0
-        self.sequence = 0
-        self.backlog: deque[tuple[_Request, Callable[[], None]]] = deque()
-        self.running_requests: dict[int, _Request] = {}
-
-    def has_room(self) -> bool:
-        capacity_with_backlog = self.service.slots * (1 + BACKLOG_PER_SLOT)
-        return self.busy_slots + len(self.backlog) < capacity_with_backlog
-
-    def run(self, request: _Request, on_done: Callable[[], None]) -> None:
-        """Runs a request that has arrived, or puts it into the backlog."""
-        if not self.is_up:
-            return
-        if self.busy_slots >= self.service.slots:
-            self.backlog.append((request, on_done))
-            return
-        self.busy_slots += 1
-        request.run_count += 1
-        self.running_requests[request.number] = request
-        duration_ms = request.service_ms * self._slowdown()
-        started_ms = self.clock.now_ms
-
-        def finish() -> None:
-            if not self.is_up:
-                return
-            self.busy_slots -= 1
-            self.busy_ms += self.clock.now_ms - started_ms
-            self.running_requests.pop(request.number, None)
-            on_done()
-            if self.backlog:
-                self.run(*self.backlog.popleft())
-
-        self.clock.after(duration_ms, finish)
-
-    def _slowdown(self) -> float:
-        if self.has_started_cold and self.clock.now_ms - self.started_ms < 5000:
-            return 3.0
-        return self.slowdown_factor
-
-    def create_announcement(self) -> _types.Target:
-        self.sequence += 1
-        load = min(100, self.busy_slots * 100 // self.service.slots)
-        is_cold = self.has_started_cold and (
-            self.clock.now_ms - self.started_ms < 10_000
-        )
-        return _types.Target(
-            self.name,
-            self.service.name,
-            _types.Address("127.0.0.1", 1),
-            f"dc{self.data_centre}",
-            1,
-            self.sequence,
-            _types.TargetState.COLD if is_cold else _types.TargetState.READY,
-            self.service.slots,
-            self.busy_slots,
-            load
-            if self.false_load_percent is None
-            else self.false_load_percent,
-            2000,
-        )
-
-
 class _Instance:
     """One instance with its view of the targets and its admission cores."""
 
@@ -272,14 +80,14 @@
     def __init__(self, options: Options) -> None:
         """Creates the deployment."""
         self.options = options
-        self.user = USERS[options.users]
+        self.user = _overload_users.USERS[options.users]
         self.clock = _clock.FakeClock()
         self.random = random.Random(options.seed)
         self.policy_random = random.Random(options.seed + 1)
         self.counts: Counter[str] = Counter()
-        self.requests: list[_Request] = []
+        self.requests: list[_overload_targets.Request] = []
         self.latencies: dict[str, list[float]] = {}
-        self.targets: dict[str, _Target] = {}
+        self.targets: dict[str, _overload_targets.Target] = {}
         self.caller_usage = [
             _weighted.CallerUsage() for _ in range(self.user.instances)
         ]
@@ -291,10 +99,10 @@
             self._set_up_service(service)
         self.clock.every(TICK_INTERVAL_MS, self._tick)
 
-    def _set_up_service(self, service: ServiceModel) -> None:
+    def _set_up_service(self, service: _overload_users.ServiceModel) -> None:
         for number in range(service.target_count):
             name = f"{service.name}-{number}"
-            target = _Target(
+            target = _overload_targets.Target(
                 self.clock, service, name, number % self.user.data_centres
             )
             self.targets[name] = target
@@ -325,7 +133,7 @@
                 core = admission.Admission(entry, order, seed)
             instance.admissions[service.name] = core
 
-    def _apply_scenario(self, target: _Target) -> None:
+    def _apply_scenario(self, target: _overload_targets.Target) -> None:
         scenario = self.options.scenario
         if scenario == "slow":
             target.slowdown_factor = 3.0
@@ -337,13 +145,13 @@
         elif scenario == "death":
             self.clock.after(10_000, lambda: self._kill(target))
 
-    def _start_cold(self, target: _Target) -> None:
+    def _start_cold(self, target: _overload_targets.Target) -> None:
         target.is_up = True
         target.has_started_cold = True
         target.started_ms = self.clock.now_ms
         self._announce(target)
 
-    def _kill(self, target: _Target) -> None:
+    def _kill(self, target: _overload_targets.Target) -> None:
         target.is_up = False
         backlog = [request for request, _ in target.backlog]
         for request in [*target.running_requests.values(), *backlog]:
@@ -354,7 +162,7 @@
             if request.on_outcome is not None:
                 request.on_outcome("aborted")
 
-    def _announce(self, target: _Target) -> None:
+    def _announce(self, target: _overload_targets.Target) -> None:
         if not target.is_up:
             return
         announced = target.create_announcement()
@@ -434,7 +242,7 @@
             self._schedule_arrival(service, rate_per_ms)
 
     def _schedule_arrival(
-        self, service: ServiceModel, rate_per_ms: float
+        self, service: _overload_users.ServiceModel, rate_per_ms: float
     ) -> None:
         wait_ms = self.random.expovariate(rate_per_ms)
         if self.clock.now_ms + wait_ms > DURATION_MS:
@@ -446,14 +254,14 @@
 
         self.clock.after(wait_ms, arrive)
 
-    def _arrive(self, service: ServiceModel) -> None:
+    def _arrive(self, service: _overload_users.ServiceModel) -> None:
         # Half of the requests come from a tenth of the callers; the other half
         # comes from all callers.
         caller_count = service.caller_count
         if self.random.random() < 0.5:
             caller_count = max(1, caller_count // 10)
         caller = f"caller-{self.random.randrange(caller_count)}"
-        request = _Request(
+        request = _overload_targets.Request(
             len(self.requests), service, caller, self.clock.now_ms
         )
         request.service_ms = self.random.expovariate(1 / service.service_ms)
@@ -486,7 +294,10 @@
                 self._send_to_target(instance, request, action.target.target_id)
 
     def _send_to_target(
-        self, instance: _Instance, request: _Request, target_id: str
+        self,
+        instance: _Instance,
+        request: _overload_targets.Request,
+        target_id: str,
     ) -> None:
         core = instance.admissions[request.service.name]
 
@@ -516,7 +327,7 @@
     def _connect(
         self,
         instance: _Instance,
-        request: _Request,
+        request: _overload_targets.Request,
         target_id: str,
         on_accepted: Callable[[], None],
         on_failure: Callable[[_codes.RetryCode], None],
@@ -544,12 +355,14 @@
 
         self.clock.after(delay_ms, reach_target)
 
-    def _one_way_delay_ms(self, instance: _Instance, target: _Target) -> float:
+    def _one_way_delay_ms(
+        self, instance: _Instance, target: _overload_targets.Target
+    ) -> float:
         if instance.data_centre == target.data_centre:
             return LOCAL_DELAY_MS
         return self.user.data_centre_delay_ms * self.random.uniform(0.9, 1.4)
 
-    def _deliver_answer(self, request: _Request) -> None:
+    def _deliver_answer(self, request: _overload_targets.Request) -> None:
         request.set_outcome("answered", self.counts)
         latency_ms = self.clock.now_ms - request.arrived_ms
         self.latencies.setdefault(request.service.name, []).append(latency_ms)
@@ -558,7 +371,9 @@
 
     # Baselines.
 
-    def _send_by_baseline(self, instance: _Instance, request: _Request) -> None:
+    def _send_by_baseline(
+        self, instance: _Instance, request: _overload_targets.Request
+    ) -> None:
         target_id = self._choose_by_baseline(instance, request)
         if target_id is None:
             self.counts["refused"] += 1
@@ -579,7 +394,7 @@
         )
 
     def _choose_by_baseline(
-        self, instance: _Instance, request: _Request
+        self, instance: _Instance, request: _overload_targets.Request
     ) -> str | None:
         candidates = [
             availability
@@ -681,7 +496,8 @@
 
 
 def _answered_share_of_light_callers(
-    requests: list[_Request], service: ServiceModel
+    requests: list[_overload_targets.Request],
+    service: _overload_users.ServiceModel,
 ) -> float:
     """Returns the answered share of the requests of light callers.
 
--- a/bluebelltide/bench/tests/test_overload.py
+++ b/bluebelltide/bench/tests/test_overload.py
@@ -3,9 +3,10 @@
 import pytest
 
 from bluebelltide.bench import _overload
+from bluebelltide.bench import _overload_users
 
 
-@pytest.mark.parametrize("users", list(_overload.USERS))
+@pytest.mark.parametrize("users", list(_overload_users.USERS))
 @pytest.mark.parametrize("scenario", _overload.SCENARIOS)
 def test_overload_keeps_the_limits_of_each_measurement(
     users: str, scenario: str, monkeypatch: pytest.MonkeyPatch
