--- a/bluebelltide/control/_update_publisher.py
+++ b/bluebelltide/control/_update_publisher.py
@@ -102,7 +102,8 @@
         self.encoding_count = 0
         self._pollers: dict[str, _Poller] = {}
         self._basis: _Basis | None = None
-        self._told_status: ReplicaStatus | None = None
+        # The status that partial updates last reported.
+        self._reported_status: ReplicaStatus | None = None
         self._encoded_updates: dict[tuple[int, bool], EncodedUpdate] = {}
         self._ring = _peer_ring.PeerRing({})
         self._ring_made_ms = -RING_INTERVAL_MS
@@ -333,9 +334,9 @@
             for target_id in urgent_ids
             if (record := self._directory.get(target_id)) is not None
         ]
-        has_news = status != self._told_status
-        self._told_status = status
-        if not records and not has_news:
+        is_status_new = status != self._reported_status
+        self._reported_status = status
+        if not records and not is_status_new:
             return []
         size = _datagrams.RECORDS_PER_UPDATE
         batches = [
