--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,12 +42,12 @@
 
     def _beat_forever(self):
         while not self._stop.is_set():
-            self._body["sequence"] += 1
-            body = json.dumps(self._body).encode()
-            body = body.replace(b"ZONE", UNREADABLE)
             nodes = list(self._platform.cores)
             random.shuffle(nodes)
             for node in nodes:
+                self._body["sequence"] += 1
+                body = json.dumps(self._body).encode()
+                body = body.replace(b"ZONE", UNREADABLE)
                 answer = standins.call(
                     node.control_address, "PUT", f"/instances/{self._id}", body
                 )
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -224,6 +224,8 @@
         self.bind_base = make_base() if with_proxies else self.base
         self.ports = self._free_ports()
         self.cores = []
+        self._added_cores = 0
+        self._removed = []
         for number in range(core_count):
             zone = ZONES[number % len(ZONES)]
             self.cores.append(
@@ -248,6 +250,21 @@
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._watch, daemon=True)
 
+    def add_core(self, zone):
+        """Returns a new core machine in a zone, not yet started."""
+        self._added_cores += 1
+        number = 10 + 10 * self._added_cores
+        machine = Machine(
+            self,
+            f"core-{zone}-{number}",
+            "control",
+            zone,
+            f"{self.base}.{number}",
+            f"{self.bind_base}.{number}",
+        )
+        machine.bootstrap = False
+        return machine
+
     def _make_front(self, number):
         zone = ZONES[number % len(ZONES)]
         return Machine(
@@ -292,6 +309,12 @@
                         return
                     machine.start()
 
+    def replace_core(self, old, new):
+        """Makes a new machine take the place of one that is gone for good."""
+        self._removed.append(old)
+        self.cores[self.cores.index(old)] = new
+        new.start()
+
     def wait_ready(self, timeout_s=25.0):
         deadline = time.monotonic() + timeout_s
         waiting = list(self.fronts)
@@ -560,10 +583,11 @@
             self._wake.clear()
 
     def _beat(self):
-        self.sequence += 1
-        state = self.state
-        body = json.dumps(self.body()).encode()
+        """Reports the state; calls the next node after a failure."""
         for node in self._order():
+            self.sequence += 1
+            state = self.state
+            body = json.dumps(self.body()).encode()
             answer = call(
                 node.control_address, "PUT", f"/instances/{self.id}", body
             )
