review: case 3 with one split in place of a freeze and a kill

Change: the script replaces two core machines as planned and splits the core once; the proxy drops connections that begin while a link is cut.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -34,6 +34,7 @@
 SYN_GIVE_UP_S = 1.4
 REQUEST_TIMEOUT_S = 2.5
 SHOWN_BREAKS = 4
+CUT_CONNECTION_S = 2.0
 
 SYN, ACK, FIN, RST = 32, 64, 4, 8
 HEADER = struct.Struct(">BBIIIHH4s4sHI")
@@ -225,7 +226,6 @@
         self.ports = self._free_ports()
         self.cores = []
         self._added_cores = 0
-        self._removed = []
         for number in range(core_count):
             zone = ZONES[number % len(ZONES)]
             self.cores.append(
@@ -263,6 +263,8 @@
             f"{self.bind_base}.{number}",
         )
         machine.bootstrap = False
+        if self._proxies:
+            self._proxies.append(Proxy(self.cuts, machine))
         return machine
 
     def _make_front(self, number):
@@ -309,11 +311,14 @@
                         return
                     machine.start()
 
-    def replace_core(self, old, new):
-        """Makes a new machine take the place of one that is gone for good."""
-        self._removed.append(old)
-        self.cores[self.cores.index(old)] = new
+    def replace_core(self, old, new, overlap_s):
+        """Replaces a machine as planned: the new one first, then SIGTERM."""
+        self.record.write(f"PLANNED: {new.name} is added, empty")
         new.start()
+        time.sleep(overlap_s)
+        self.record.write(f"PLANNED: {old.name} gets SIGTERM and is gone")
+        old.terminate()
+        self.cores[self.cores.index(old)] = new
 
     def wait_ready(self, timeout_s=25.0):
         deadline = time.monotonic() + timeout_s
@@ -387,7 +392,8 @@
 class Proxy:
     """Carries what other machines send to one machine's internal port.
 
-    While a link is cut, datagrams on it are lost and connections wait.
+    While a link is cut, datagrams on it are lost, new connections get no
+    answer and open ones wait.
     """
 
     def __init__(self, cuts, machine):
@@ -431,8 +437,12 @@
 
     def _carry_connection(self, near, sender):
         me = self._machine.bind_ip
-        while self._is_open and self._cuts.is_cut(sender, me):
-            time.sleep(0.02)
+        if self._cuts.is_cut(sender, me) or self._cuts.is_cut(me, sender):
+            # A new connection needs both directions. The caller has given up
+            # before the link is whole again.
+            time.sleep(CUT_CONNECTION_S)
+            near.close()
+            return
         far = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             far.connect(self._target)
