--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,7 @@
 """A heartbeat of another writer with bytes that can't be read."""
 
-import json
 import pathlib
-import random
 import sys
-import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -12,53 +9,6 @@
 
 import standins
 
-UNREADABLE = b"\xed\xa0\x80"
-"""Three bytes that are no UTF-8: an encoded half of a surrogate pair."""
-
-
-class OtherWriter:
-    """Sends heartbeats whose zone holds unreadable bytes, as a host would."""
-
-    def __init__(self, platform, record, address):
-        self._record = record
-        self._platform = platform
-        self._id = f"i-{random.getrandbits(32):08x}"
-        self._body = {
-            "service": "no-such-service",
-            "address": f"{address[0]}:{address[1]}",
-            "zone": "ZONE",
-            "version": "v1",
-            "capacity": 1,
-            "state": "ready",
-            "rampRemainingMs": 0,
-            "sequence": 0,
-            "born": int(time.time() * 1000),
-        }
-        self._stop = threading.Event()
-        threading.Thread(target=self._beat_forever, daemon=True).start()
-
-    def close(self):
-        self._stop.set()
-
-    def _beat_forever(self):
-        while not self._stop.is_set():
-            nodes = list(self._platform.cores)
-            random.shuffle(nodes)
-            for node in nodes:
-                self._body["sequence"] += 1
-                body = json.dumps(self._body).encode()
-                body = body.replace(b"ZONE", UNREADABLE)
-                answer = standins.call(
-                    node.control_address, "PUT", f"/instances/{self._id}", body
-                )
-                status = answer and answer[0]
-                self._record.write(
-                    f"other writer: {node.name} answered {status}"
-                )
-                if status is not None and status < 300:
-                    break
-            self._stop.wait(standins.HEARTBEAT_S)
-
 
 def case(record, has_trouble):
     platform = standins.Platform(record)
@@ -102,7 +52,7 @@
             raise standins.CouldNotRun(f"{front.name} serves nothing")
     if has_trouble:
         closing.append(
-            OtherWriter(platform, record, (f"{base}.190", 9))
+            standins.OtherWriter(platform, record, (f"{base}.190", 9))
         )
     time.sleep(3)
     acknowledged_s = operator.put(7, [kept, added], timeout_s=40)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,8 @@
-"""Invalid configurations that are acknowledged and come into force."""
+"""Hosts drain while a core machine is cut off; entries restart afterwards."""
 
-import json
 import pathlib
 import sys
+import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,9 +10,15 @@
 
 import standins
 
+CUT_S = 5.5
+DRAIN_AFTER_S = 4.7
+"""The machines that aren't cut off are in touch again 4 s after the cut."""
+ROLL_GAP_S = 1.2
+SLACK_S = 0.3
+
 
 def case(record, has_trouble):
-    platform = standins.Platform(record)
+    platform = standins.Platform(record, with_proxies=True)
     closing = [platform]
     try:
         return play(platform, closing, record, has_trouble)
@@ -23,98 +29,128 @@
 
 def play(platform, closing, record, has_trouble):
     base = platform.base
-    kept = ("kept", f"{base}.200", 443, "reminder-svc")
-    added = ("added", f"{base}.200", 444, "statement-svc")
+    route = ("reminders", f"{base}.200", 443, "reminder-svc")
     platform.start()
-    for number in range(6):
-        service = "reminder-svc" if number < 4 else "statement-svc"
-        closing.append(
-            standins.Host(
-                platform,
-                record,
-                platform.cores,
-                service,
-                standins.ZONES[number % 4],
-                f"{base}.{100 + number}",
-            )
+    hosts = []
+    for number in range(11):
+        service = "reminder-svc" if number < 7 else "statement-svc"
+        zone = standins.ZONES[number % 4]
+        host = standins.Host(
+            platform,
+            record,
+            platform.cores,
+            service,
+            zone,
+            f"{base}.{100 + number}",
         )
+        hosts.append(host)
+        closing.append(host)
     clients = standins.Clients(platform, record, f"{base}.150")
     closing.append(clients)
     operator = standins.Operator(platform, record)
-    if operator.put(3, [kept]) is None:
+    if operator.put(3, [route]) is None:
         raise standins.CouldNotRun("the first configuration got no answer")
     platform.wait_ready()
     time.sleep(4)
     for front in platform.fronts:
-        _, outcome = clients.request(front, kept[1:3])
+        _, outcome = clients.request(front, route[1:3])
         if outcome != "served":
             raise standins.CouldNotRun(f"{front.name} serves nothing")
-    breaks = []
 
-    # A route that names an unknown service beside its weighted ones.
-    config = standins.make_config(5, [kept, added])
-    config["routes"][1]["targets"] = [
-        {"service": "statement-svc", "weight": 90},
-        {"service": "reminder-svc", "weight": 10},
-    ]
-    config["routes"][1]["service"] = (
-        "no-such-service" if has_trouble else "statement-svc"
-    )
-    status, version = send(platform, record, config)
-    if not has_trouble:
-        if (status, version) != (200, 5):
-            raise standins.CouldNotRun("a valid configuration wasn't taken")
-    elif status == 200:
-        breaks.append(
-            "configuration 5, whose route `added` names the unknown service "
-            f"no-such-service, was acknowledged; {version} is read back"
+    cut_off = platform.cores[3]
+    if has_trouble:
+        record.write(
+            f"CUT: what {cut_off.name} sends no longer reaches the other core "
+            "machines"
         )
-        breaks += probe(platform, clients, added, "served", "added")
+        for core in platform.cores:
+            if core is not cut_off:
+                platform.cuts.cut(cut_off, core)
+    time.sleep(DRAIN_AFTER_S)
+    leaving = [hosts[0], hosts[1], hosts[4]]
+    for host in leaving:
+        record.write(f"host {host.id} in {host.zone} begins to drain")
+        host.drain()
+        time.sleep(0.15)
+    time.sleep(CUT_S - DRAIN_AFTER_S - 0.45)
+    platform.cuts.join()
+    joined_s = record.now_s()
+    record.write("JOINED: all machines reach each other again")
 
-    # Routes that can't be read: an object stands in place of the list.
-    config = standins.make_config(7, [kept, added])
-    if has_trouble:
-        config["routes"] = {}
-    status, version = send(platform, record, config)
-    if not has_trouble:
-        if (status, version) != (200, 7):
-            raise standins.CouldNotRun("a valid configuration wasn't taken")
-        breaks += probe(platform, clients, kept, "reset", "kept")
-    elif status == 200:
-        breaks.append(
-            "configuration 7, whose routes are no list, was acknowledged; "
-            f"{version} is read back"
+    started_s = roll(platform, record)
+    in_touch_s = max(joined_s, started_s) + standins.CONTACT_S
+    # The strictest reading: only an acknowledgement by a machine in touch,
+    # 4 s after the cut, starts the time of the rule.
+    limits_s = {}
+    while record.now_s() < joined_s + standins.CONTACT_S + 2.5:
+        time.sleep(0.1)
+    for host in leaving:
+        acked_s = next(
+            (
+                at
+                for at, _, state in host.acks
+                if state == "draining" and at > joined_s + standins.CONTACT_S
+            ),
+            None,
         )
-        breaks += probe(platform, clients, kept, "reset", "kept")
+        if acked_s is None:
+            raise standins.CouldNotRun(f"host {host.id} was not acknowledged")
+        limits_s[host.id] = acked_s + standins.DRAIN_TIMEOUT_S + SLACK_S
+    while record.now_s() < max(in_touch_s, *limits_s.values()):
+        time.sleep(0.05)
+    record.write("requests from now on count")
+    from_s = record.now_s()
+    send_requests(platform, clients, route, seconds=3.0)
+    breaks = []
+    for host in leaving:
+        for run_s, request_id in host.runs:
+            if run_s >= from_s:
+                breaks.append(
+                    f"{request_id} ran at host {host.id} "
+                    f"{run_s - host.draining_acked_s:.1f} s after it was "
+                    "acknowledged as draining"
+                )
+        host.leave()
     return breaks
 
 
-def send(platform, record, config):
-    """Sends a configuration once; returns the status and the version read."""
-    body = json.dumps(config).encode()
-    record.write(f"operator sends {body.decode()}")
-    node = platform.cores[0].control_address
-    answer = standins.call(node, "PUT", "/config", body)
-    status = answer and answer[0]
-    record.write(f"answer to configuration {config['version']}: {status}")
-    time.sleep(standins.CONFIG_APPLY_S)
-    answer = standins.call(node, "GET", "/config")
-    version = json.loads(answer[1])["version"] if answer else None
-    record.write(f"version read back: {version}")
-    return status, version
+def roll(platform, record):
+    """Stops and starts two fronts in turn; returns when both run again."""
+    threads = []
+    for front in platform.fronts[1:3]:
+        thread = threading.Thread(target=restart, args=(front, record))
+        thread.start()
+        threads.append(thread)
+        time.sleep(ROLL_GAP_S)
+    for thread in threads:
+        thread.join()
+    return record.now_s()
 
 
-def probe(platform, clients, route, bad_outcome, name):
-    """Returns the fronts that obey the configuration that was just sent."""
-    breaks = []
-    for front in platform.fronts:
-        request_id, outcome = clients.request(front, route[1:3])
-        if outcome == bad_outcome:
-            breaks.append(
-                f"{request_id} of route `{name}` through {front.name}: "
-                f"{outcome}, by the configuration that was just sent"
-            )
-    return breaks
+def restart(front, record):
+    record.write(f"platform sends SIGTERM to {front.name}")
+    front.terminate()
+    front.bootstrap = False
+    front.start()
+
+
+def send_requests(platform, clients, route, seconds):
+    """Sends requests through all fronts, some at a time."""
+    end = time.monotonic() + seconds
+
+    def press(front):
+        while time.monotonic() < end:
+            clients.request(front, route[1:3])
+
+    threads = [
+        threading.Thread(target=press, args=(front,))
+        for front in platform.fronts
+        for _ in range(3)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
 
 
 if __name__ == "__main__":
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -691,6 +691,61 @@
             return
 
 
+class OtherWriter:
+    """Another writer, whose heartbeats have bytes that can't be read.
+
+    It names a service that doesn't exist, and calls the next node after an
+    answer that is no acknowledgement, as a host does.
+    """
+
+    UNREADABLE = b"\xed\xa0\x80"
+    """Three bytes that are no UTF-8: an encoded half of a surrogate pair."""
+
+    def __init__(self, platform, record, address):
+        self._record = record
+        self._nodes = platform.cores
+        self._node = random.randrange(len(platform.cores))
+        self._id = f"i-{random.getrandbits(32):08x}"
+        self._body = {
+            "service": "no-such-service",
+            "address": f"{address[0]}:{address[1]}",
+            "zone": "ZONE",
+            "version": "v1",
+            "capacity": 1,
+            "state": "ready",
+            "rampRemainingMs": 0,
+            "sequence": 0,
+            "born": int(time.time() * 1000),
+        }
+        self._stop = threading.Event()
+        threading.Thread(target=self._beat_forever, daemon=True).start()
+
+    def close(self):
+        self._stop.set()
+
+    def _beat_forever(self):
+        while not self._stop.is_set():
+            self._beat()
+            self._stop.wait(HEARTBEAT_S * random.uniform(0.95, 1.05))
+
+    def _beat(self):
+        for _ in self._nodes:
+            self._body["sequence"] += 1
+            body = json.dumps(self._body).encode()
+            body = body.replace(b"ZONE", self.UNREADABLE)
+            node = self._nodes[self._node]
+            answer = call(
+                node.control_address, "PUT", f"/instances/{self._id}", body
+            )
+            status = answer and answer[0]
+            self._record.write(
+                f"other writer {self._id}: {node.name} answered {status}"
+            )
+            if status is not None and status < 300:
+                return
+            self._node = (self._node + 1) % len(self._nodes)
+
+
 class Clients:
     """Clients at one address; each request has a flow and a port of its own."""
 
