--- a/bluebelltide/_batch_socket.py
+++ b/bluebelltide/_batch_socket.py
@@ -64,8 +64,9 @@
         """Sends a datagram; returns False if the system rejects it."""
         try:
             self._socket.sendto(data, address)
-        except (OSError, OverflowError):
-            # A port out of range raises OverflowError.
+        except (OSError, OverflowError, ValueError):
+            # A port out of range raises OverflowError, and a host that is no
+            # text of an address raises ValueError.
             return False
         return True
 
--- a/bluebelltide/_events.py
+++ b/bluebelltide/_events.py
@@ -18,6 +18,8 @@
 """The maximum number of lines of one event per budget window."""
 MAXIMUM_BUFFERED_LINES = 4000
 """The size of the buffer; lines beyond it are dropped and counted."""
+MAXIMUM_READABLE_LENGTH = 1000
+"""Upper bound of the length of a value that JSON cannot hold."""
 WINDOW_S = 1.0
 """The length of a budget window."""
 
@@ -122,7 +124,26 @@
     }
     if record.exception_name is not None:
         line["exception"] = record.formatted_exception
-    return _encode_json(line) + b"\n"
+    try:
+        return _encode_json(line) + b"\n"
+    except (TypeError, ValueError, OverflowError):
+        # A field holds what JSON or UTF-8 cannot. The line is written anyway.
+        readable = {name: _to_readable(value) for name, value in line.items()}
+        return _encode_json(readable) + b"\n"
+
+
+def _to_readable(value: object) -> object:
+    """Returns a value that JSON can hold, if need be as bounded ASCII text."""
+    try:
+        _encode_json(value)
+        return value
+    except (TypeError, ValueError, OverflowError):
+        pass
+    try:
+        return ascii(value)[:MAXIMUM_READABLE_LENGTH]
+    except ValueError:
+        # The interpreter refuses to print integers of thousands of digits.
+        return f"unprintable {type(value).__name__}"
 
 
 def install_stdout_events() -> StdoutHandler:
--- a/bluebelltide/_exceptions.py
+++ b/bluebelltide/_exceptions.py
@@ -34,6 +34,11 @@
     """An address cannot be bound, usually because another process uses it."""
     CORRUPT_STORE = "corrupt_store"
     """The data folder contains records with an invalid checksum."""
+    BAD_TARGET = "bad_target"
+    """A target's entry has a field that is missing, of another type or out of
+    its range."""
+    BAD_ADDRESS = "bad_address"
+    """A target's entry has an address at which nothing can be called."""
     TOO_LARGE = "too_large"
     """A body or frame exceeds its size limit."""
 
--- a/bluebelltide/_types.py
+++ b/bluebelltide/_types.py
@@ -2,7 +2,10 @@
 
 from enum import StrEnum
 import ipaddress
-from typing import NamedTuple
+import re
+from typing import Annotated, NamedTuple
+
+import msgspec
 
 from bluebelltide import _exceptions
 
@@ -10,6 +13,37 @@
 TargetId = str
 ServiceName = str
 
+MAXIMUM_NAME_LENGTH = 255
+"""Upper bound of the characters of a name that a target announces, so that an
+update with many targets fits into a datagram."""
+MAXIMUM_PORT = 65_535
+"""The highest TCP or UDP port."""
+MAXIMUM_PORT_DIGITS = 5
+"""The number of digits of the highest port."""
+MAXIMUM_SEQUENCE = 2**32 - 1
+"""Upper bound of a sequence; lease renewals send it in 32 bits."""
+MAXIMUM_SLOTS = 1_000_000
+"""Upper bound of the slots of a target, far above what one target runs."""
+MAXIMUM_INT64 = 2**63 - 1
+"""Upper bound of numbers that every encoding and every log line holds."""
+MAXIMUM_INT32 = 2**31 - 1
+"""Upper bound of counts and durations in milliseconds."""
+
+_NAME = msgspec.Meta(
+    min_length=1,
+    max_length=MAXIMUM_NAME_LENGTH,
+    # Neither control characters nor halves of surrogate pairs, which JSON can
+    # hold but UTF-8 cannot.
+    pattern=r"^[^\x00-\x1f\x7f\ud800-\udfff]+\Z",
+)
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INT32)]
+"""A count, or a duration in milliseconds, that others send."""
+_OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"
+IPV4_PATTERN = rf"{_OCTET}(\.{_OCTET}){{3}}"
+"""The text of an IPv4 address."""
+HostAddress = Annotated[str, msgspec.Meta(pattern=rf"^{IPV4_PATTERN}\Z")]
+"""The IPv4 address of a machine, never a name that would be looked up."""
+
 
 class Address(NamedTuple):
     """An IP address and a port."""
@@ -26,6 +60,11 @@
         return f"{self.host}:{self.port}"
 
 
+def is_ipv4(text: str) -> bool:
+    """Returns whether a text is an IPv4 address."""
+    return re.fullmatch(IPV4_PATTERN, text) is not None
+
+
 def parse_address(text: str) -> Address:
     """Parses `host:port` or `[host]:port`.
 
@@ -33,7 +72,7 @@
         text: The text; the host must be an IP address, not a host name.
 
     Returns:
-        The address.
+        The address, with the host in its canonical text form.
 
     Raises:
         BluebelltideError: With BAD_SETTINGS if the text is malformed.
@@ -41,18 +80,25 @@
     host, separator, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
     try:
-        ipaddress.ip_address(host)
-        port_number = int(port)
+        address = Address(str(ipaddress.ip_address(host)), _parse_port(port))
     except ValueError:
         separator = ""
-        port_number = -1
-    if not separator or not 0 <= port_number <= 65535:
+    # A scope id belongs to one machine, and may be any text.
+    if not separator or "%" in host:
         raise _exceptions.BluebelltideError(
             _exceptions.ErrorCode.BAD_SETTINGS,
             "expected an IP address and port like 127.0.0.1:80, "
             f"found {text!r}",
         )
-    return Address(host, port_number)
+    return address
+
+
+def _parse_port(text: str) -> int:
+    is_decimal = text.isascii() and text.isdecimal()
+    port = int(text) if is_decimal and len(text) <= MAXIMUM_PORT_DIGITS else -1
+    if not 0 <= port <= MAXIMUM_PORT:
+        raise ValueError(f"expected a port, found {text!r}")
+    return port
 
 
 class TargetState(StrEnum):
@@ -67,29 +113,33 @@
 
 
 class Target(NamedTuple):
-    """One target's announcement, as the registry stores it."""
+    """One target's announcement, as the registry stores it.
+
+    The ranges are checked whenever a target is decoded. A value within them
+    can be stored, sent, logged and computed with in every process.
+    """
 
-    target_id: TargetId
+    target_id: Annotated[TargetId, _NAME]
     """The name that the target chooses; unique within its service."""
-    service: ServiceName
+    service: Annotated[ServiceName, _NAME]
     """The service that the target runs."""
     address: Address
     """Where the target accepts flows."""
-    data_centre: str
+    data_centre: Annotated[str, _NAME]
     """The data centre that the target is in."""
-    generation: int
+    generation: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INT64)]
     """Increases each time the target's process starts."""
-    sequence: int
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_SEQUENCE)]
     """Increases with each announcement of one generation."""
     state: TargetState
     """The state that the target reports."""
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_SLOTS)]
     """How many requests the target can run at once."""
-    connections: int
+    connections: Count
     """How many open flows the target reports."""
-    load_percent: int
+    load_percent: Count
     """The busy slots that the target reports, in percent of `slots`."""
-    lease_ms: int
+    lease_ms: Count
     """How long the announcement is valid without renewal."""
-    cold_remaining_ms: int = 0
+    cold_remaining_ms: Count = 0
     """How much longer the target stays cold; 0 if it is not cold."""
--- a/bluebelltide/catalogue/_store.py
+++ b/bluebelltide/catalogue/_store.py
@@ -11,7 +11,7 @@
 import os
 import pathlib
 import struct
-from typing import BinaryIO, NamedTuple, TypeVar
+from typing import Any, BinaryIO, NamedTuple, TypeVar
 
 import logbook
 import xxhash
@@ -306,6 +306,24 @@
     Returns:
         The record, or None if there is no file.
 
+    Raises:
+        BluebelltideError: With BAD_FRAME if the file is damaged.
+    """
+    plain = read_plain(path)
+    if plain is None:
+        return None
+    return _codec.from_plain(plain, record_type, str(path))
+
+
+def read_plain(path: pathlib.Path) -> Any:  # noqa: ANN401
+    """Reads a file of plain values.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The plain values, or None if there is no file.
+
     Raises:
         BluebelltideError: With BAD_FRAME if the file is damaged.
     """
@@ -317,8 +335,7 @@
         raise _exceptions.BluebelltideError(
             _exceptions.ErrorCode.BAD_FRAME, str(error), str(path)
         ) from error
-    plain = _codec.decode(data, str(path))
-    return _codec.from_plain(plain, record_type, str(path))
+    return _codec.decode(data, str(path))
 
 
 def read_identity(folder: pathlib.Path) -> str | None:
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -32,6 +32,7 @@
 from bluebelltide.control import _voters
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _replica_poller
+from bluebelltide.membership import _target_records
 from bluebelltide.messaging import _calls
 from bluebelltide.messaging import _datagrams
 
@@ -88,6 +89,7 @@
     Attributes:
         directory: The targets that this replica knows.
         deployment_replica: Replicates the deployment document.
+        refuse_target: Counts and logs a target's entry that cannot be used.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
     ) -> None:
         """Creates the controller; `start` opens files and sockets."""
         self.directory = _directory.TargetDirectory()
+        self.refuse_target = _target_records.make_refusal_handler(metrics)
         self.deployment_replica = _deployment_replica.DeploymentReplica(
             settings,
             _store.Store(settings.data_folder),
@@ -111,7 +114,7 @@
         self._lease_watch = _lease_watch.LeaseWatch()
         self._keys_being_fetched: set[str] = set()
         self._saved_targets = _saved_targets.SavedTargets(
-            settings.data_folder, self.directory
+            settings.data_folder, self.directory, self.refuse_target
         )
         self._own_replica = _datagrams.Replica("", settings.data_centre)
         self._publisher: _update_publisher.UpdatePublisher | None = None
@@ -284,7 +287,9 @@
 
     def _on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         try:
-            message = _datagrams.decode_datagram(data, sender[0])
+            message = _datagrams.decode_datagram(
+                data, sender[0], self.refuse_target
+            )
         except _exceptions.BluebelltideError:
             self._metrics.count("dropped", "bad_frame")
             return
--- a/bluebelltide/control/_saved_targets.py
+++ b/bluebelltide/control/_saved_targets.py
@@ -14,6 +14,7 @@
 from bluebelltide.control import _recovered_targets
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _target_file
+from bluebelltide.membership import _target_records
 
 
 class SavedTargets:
@@ -27,25 +28,30 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, directory: _directory.TargetDirectory
+        self,
+        folder: pathlib.Path,
+        directory: _directory.TargetDirectory,
+        refuse: _target_records.RefusalHandler = _target_records.log_refusal,
     ) -> None:
         """Creates the state; `recover` reads the file.
 
         Args:
             folder: The data folder.
             directory: The targets that the replica knows.
+            refuse: Receives the error of each saved entry that is refused.
         """
         self.recovered_count = 0
         self.recovered = _recovered_targets.RecoveredTargets(())
         self.previous_entry_hosts: tuple[str, ...] = ()
         self._folder = folder
         self._directory = directory
+        self._refuse = refuse
         self._last_saved: tuple[int, tuple[str, ...]] = (0, ())
 
     def recover(self, now_ms: int) -> None:
         """Loads the targets of the previous run, most of which still live."""
         try:
-            saved = _target_file.read_targets(self._folder)
+            saved = _target_file.read_targets(self._folder, self._refuse)
         except _exceptions.BluebelltideError as error:
             events.write("targets_not_recovered", error=str(error))
             return
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -28,6 +28,7 @@
 from bluebelltide.fronts import _token_packets
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _replica_poller
+from bluebelltide.membership import _target_records
 from bluebelltide.messaging import _calls
 from bluebelltide.messaging import _datagrams
 from bluebelltide.placement import create_placer
@@ -98,6 +99,7 @@
         self._metrics = metrics
         self._placer = create_placer(settings.data_centre, random.random)
         self._directory = _directory.TargetDirectory()
+        self._refuse_target = _target_records.make_refusal_handler(metrics)
         self._replica_poller = _replica_poller.ReplicaPoller(
             settings.host, settings.data_centre, None
         )
@@ -221,7 +223,9 @@
     def _on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         self._check_for_pause()
         try:
-            message = _datagrams.decode_datagram(data, sender[0])
+            message = _datagrams.decode_datagram(
+                data, sender[0], self._refuse_target
+            )
         except _exceptions.BluebelltideError:
             self._metrics.count("dropped", "bad_frame")
             return
--- a/bluebelltide/membership/_target_file.py
+++ b/bluebelltide/membership/_target_file.py
@@ -7,11 +7,13 @@
 """
 
 import pathlib
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from bluebelltide import _codec
+from bluebelltide import _types
 from bluebelltide.catalogue import _store
 from bluebelltide.membership import _directory
+from bluebelltide.membership import _target_records
 
 FILE_NAME = "targets"
 """The file in the data folder."""
@@ -26,6 +28,13 @@
     """The addresses of the machines whose entry instances polled."""
 
 
+class _RawMembership(NamedTuple):
+    """The content of the file before the records are checked."""
+
+    records: tuple[Any, ...]
+    entry_hosts: tuple[str, ...]
+
+
 def write_targets(folder: pathlib.Path, saved: SavedMembership) -> None:
     """Replaces the file.
 
@@ -40,11 +49,16 @@
     _store.write_file_atomically(folder / FILE_NAME, data)
 
 
-def read_targets(folder: pathlib.Path) -> SavedMembership:
+def read_targets(
+    folder: pathlib.Path,
+    refuse: _target_records.RefusalHandler = _target_records.log_refusal,
+) -> SavedMembership:
     """Reads the file.
 
     Args:
         folder: The data folder.
+        refuse: Receives the error of each record that is refused; the content
+            then lacks it.
 
     Returns:
         The content; empty if there is no file.
@@ -52,5 +66,11 @@
     Raises:
         BluebelltideError: With BAD_FRAME if the file is damaged.
     """
-    saved = _store.read_record(folder / FILE_NAME, SavedMembership)
-    return SavedMembership() if saved is None else saved
+    source = str(folder / FILE_NAME)
+    plain = _store.read_plain(folder / FILE_NAME)
+    if plain is None:
+        return SavedMembership()
+    raw = _codec.from_plain(plain, _RawMembership, source)
+    records = _target_records.read_records(raw.records, source, refuse)
+    entry_hosts = filter(_types.is_ipv4, raw.entry_hosts)
+    return SavedMembership(records, tuple(entry_hosts))
--- a/bluebelltide/messaging/_datagrams.py
+++ b/bluebelltide/messaging/_datagrams.py
@@ -6,16 +6,22 @@
 """
 
 import struct
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+import msgspec
 
 from bluebelltide import _codec
 from bluebelltide import _exceptions
+from bluebelltide import _types
 from bluebelltide.membership import _directory
+from bluebelltide.membership import _target_records
 
 MAXIMUM_DATAGRAM_BYTES = 60_000
 """Upper bound of the bytes of a datagram that are decoded."""
 RECORDS_PER_UPDATE = 16
 """Upper bound of the records in an update, so that it fits in one packet."""
+IDENTITY_PATTERN = rf"^{_types.IPV4_PATTERN}~[0-9a-f]{{1,32}}\Z"
+"""The identity of a replica: the IPv4 address of its machine and a nonce."""
 _RENEWAL = struct.Struct(">II")
 """A target's token and the newest sequence that was received from it."""
 
@@ -23,7 +29,7 @@
 class Replica(NamedTuple):
     """A control replica, as other processes know it."""
 
-    identity: str
+    identity: Annotated[str, msgspec.Meta(pattern=IDENTITY_PATTERN)]
     """Identifies the replica's stored data; begins with its host and `~`."""
     data_centre: str
     """The replica's data centre."""
@@ -37,7 +43,7 @@
 class Poll(NamedTuple):
     """Asks a control replica for the changes that the sender does not know."""
 
-    sender: str
+    sender: _types.HostAddress
     """The address that the answer is sent to."""
     data_centre: str
     """The data centre of the sender."""
@@ -104,11 +110,11 @@
     version: int
     """A hash of the hosts, so that replicas with the same view of the
     instances send the same version."""
-    local_hosts: tuple[str, ...]
+    local_hosts: tuple[_types.HostAddress, ...]
     """Entry instances in the data centre of the receiver."""
-    remote_hosts: tuple[str, ...]
+    remote_hosts: tuple[_types.HostAddress, ...]
     """Entry instances in other data centres."""
-    instance_count: int
+    instance_count: _types.Count
     """The number of entry instances in the deployment when the hosts last
     changed."""
 
@@ -119,17 +125,20 @@
     Entry instances send load reports to each other.
     """
 
-    sender: str
+    sender: _types.HostAddress
     """The address of the instance."""
-    open_flows: dict[int, int]
+    open_flows: dict[int, _types.Count]
     """The number of open flows of each target, by token."""
     ejected_tokens: tuple[int, ...]
     """The tokens of the ejected targets."""
-    idle_flows: dict[int, int] = {}
+    idle_flows: dict[int, _types.Count] = {}
     """The number of those open flows that wait for their next request, by
     token."""
 
 
+_RECORDS_INDEX = Update._fields.index("records")
+"""The position of the records in a plain update."""
+
 Message = Poll | Update | LoadReport | PeerList
 
 _TYPES: tuple[type[Message], ...] = (Poll, Update, LoadReport, PeerList)
@@ -142,12 +151,18 @@
     return _codec.encode([type_index, _codec.to_plain(message)])
 
 
-def decode_datagram(data: bytes, source: str) -> Message:
+def decode_datagram(
+    data: bytes,
+    source: str,
+    refuse: _target_records.RefusalHandler = _target_records.log_refusal,
+) -> Message:
     """Decodes a datagram.
 
     Args:
         data: The datagram.
         source: The sender, for the error.
+        refuse: Receives the error of each record of an update that is refused;
+            the update then lacks it.
 
     Returns:
         The message.
@@ -165,7 +180,25 @@
         raise _exceptions.BluebelltideError(
             _exceptions.ErrorCode.BAD_FRAME, "expected [kind, message]", source
         )
-    return _codec.from_plain(plain[1], _TYPES[plain[0]], source)
+    message_type = _TYPES[plain[0]]
+    if message_type is Update:
+        return _decode_update(plain[1], source, refuse)
+    return _codec.from_plain(plain[1], message_type, source)
+
+
+def _decode_update(
+    plain: object, source: str, refuse: _target_records.RefusalHandler
+) -> Update:
+    """Decodes an update, whose records come from many writers."""
+    if not isinstance(plain, list) or len(plain) <= _RECORDS_INDEX:
+        raise _exceptions.BluebelltideError(
+            _exceptions.ErrorCode.BAD_FRAME, "expected an update", source
+        )
+    raw_records = plain[_RECORDS_INDEX]
+    plain[_RECORDS_INDEX] = ()
+    update = _codec.from_plain(plain, Update, source)
+    records = _target_records.read_records(raw_records, source, refuse)
+    return update._replace(records=records)
 
 
 def pack_renewals(renewals: dict[int, int]) -> bytes:
--- a/bluebelltide/tests/test_events.py
+++ b/bluebelltide/tests/test_events.py
@@ -46,3 +46,29 @@
     assert json.loads(first)["event"] == "x" * 100
     os.close(reader)
     os.close(writer)
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["\ud800", 10**400, 10**5000],
+    ids=["surrogate", "401 digits", "5001 digits"],
+)
+def test_a_value_that_json_cannot_hold_costs_neither_line_nor_caller(
+    monkeypatch: pytest.MonkeyPatch, value: str | int
+) -> None:
+    """Guards against a log line that ends the decision that it tells of."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+
+    class Stdout:
+        def fileno(self) -> int:
+            return writer
+
+    monkeypatch.setattr(sys, "stdout", Stdout())
+    with _events.StdoutHandler().applicationbound():
+        _events.EventLog().write("target_refused", source=value)
+    line = json.loads(os.read(reader, 65536))
+    assert line["event"] == "target_refused"
+    assert line["source"] in (value, ascii("\ud800"), "unprintable int")
+    os.close(reader)
+    os.close(writer)
