--- a/bluebelltide/control/_deployment_replica.py
+++ b/bluebelltide/control/_deployment_replica.py
@@ -35,6 +35,9 @@
 QUERY_INTERVAL_MS = 20
 """The time between two queries of a read, in which a change that is in
 progress usually ends."""
+NO_VOTERS = _register.Voters(0, ())
+"""What a replica assumes while it has stored or heard of no voter set: any
+proposer's set is newer."""
 FIRST_NONCE = "0"
 """Second part of the identities that replicas get at the first start of a
 deployment."""
@@ -295,12 +298,15 @@
                 return _calls.Fetched(committed)
             newest = self.newest_state(request.key)
             return _calls.Fetched(newest, newest.version == committed.version)
-        voters = self.voters
-        if receiver != self.identity or voters is None:
+        if receiver != self.identity:
             return None
+        voters = self.voters or NO_VOTERS
         if self.identity not in voters.all_voters():
             # A newer voter set, which the proposer knows and this replica
-            # does not, may include this replica.
+            # does not, may include this replica. It may have become a voter
+            # while nobody could reach it, and have stored no voter set. It
+            # must answer all the same: the others may need its vote to read
+            # what was accepted.
             proposer_voters_version = getattr(
                 request, "voters_version", voters.version
             )
@@ -321,9 +327,7 @@
         self, request: _register.Prepare | _register.Accept
     ) -> _register.Reply | None:
         async with self._write_lock:
-            voters = self.voters
-            if voters is None:
-                return None
+            voters = self.voters or NO_VOTERS
             old_state = self._acceptor_states.get(
                 request.key, _register.AcceptorState()
             )
--- a/bluebelltide/control/tests/test_deployment_replica.py
+++ b/bluebelltide/control/tests/test_deployment_replica.py
@@ -255,6 +255,42 @@
         assert 2 * len(knowing) > len(versions)
 
 
+def test_a_voter_added_while_it_is_cut_off_helps_to_read_after_a_lost_disk(
+    run_in_network: RunInNetwork,
+) -> None:
+    """Guards against voters that never answer again after a full stop.
+
+    A replica became a voter while it was cut off, so it only heard of the voter
+    set and had none on its disk. After all replicas had stopped and one disk
+    was lost, the others needed its vote, and it waited for a voter set.
+    """
+
+    async def run(network: replica_network.Network) -> None:
+        first, second, third = network.replicas.values()
+        fourth = network.start("10.0.0.4", is_first_start=False)
+        network.exchange_committed_states()
+        network.cut_off_hosts = {"10.0.0.4"}
+        desired_voters = (second.identity, third.identity, fourth.identity)
+        assert await second.change_voters(desired_voters)
+        first.close()
+        del network.replicas["10.0.0.1"]
+        network.cut_off_hosts = set()
+        network.exchange_committed_states()
+        assert (await fourth.put(9, b"nine")).is_certain
+        for replica in (second, third, fourth):
+            replica.close()
+        second = network.start("10.0.0.2", is_first_start=False)
+        network.start("10.0.0.3", disk="empty", is_first_start=False)
+        network.start("10.0.0.4", is_first_start=False)
+        for key in second.unconfirmed_keys():
+            assert (await second.confirm(key)).is_certain
+        network.exchange_committed_states()
+        outcome = await second.read()
+        assert (outcome.is_certain, outcome.state.value) == (True, b"nine")
+
+    run_in_network(run)
+
+
 def test_an_accepted_document_survives_a_restart_of_all_replicas(
     run_in_network: RunInNetwork,
 ) -> None:
--- a/bluebelltide/spec/_voters_model.py
+++ b/bluebelltide/spec/_voters_model.py
@@ -10,6 +10,12 @@
 accepted and adds a change of its own. So the decided states must form one
 sequence, in which each holds the changes of the one before.
 
+Known voter sets are those on disk: what a replica only heard of is gone after
+a restart. A replica that joins has none at first, and may be voted in while
+nobody can reach it. In each state all replicas may stop, one disk may be lost,
+and the replicas that were replaced are gone. Those that are left must then
+still be able to read every decided state.
+
 Equivalent states are explored once, so that the exploration completes:
 replicas 1 and 2 are interchangeable, a ballot that can no longer get a quorum
 of promises has ended, and a promise only matters for ballots that have not
@@ -28,10 +34,13 @@
     "skip_copy",
     "accept_early_copy",
     "ignore_voters_version",
+    "answer_without_voter_set",
 )
 """Rules that can be left out, one at a time."""
 BALLOTS_TO_REVEAL = {"skip_joint_step": 2, "skip_copy": 2}
 """Ballots that reveal a left-out rule, if fewer than in the model's scope."""
+NO_VOTER_SET = -1
+"""The version known to a replica that has never stored a voter set."""
 VOTER_COUNT = 3
 """How many replicas vote, outside of joint steps."""
 NOT_STARTED, PREPARING, PROPOSING, ENDED = range(4)
@@ -67,7 +76,7 @@
     """A state of the model."""
 
     known_versions: tuple[int, ...]
-    """The version of the voter set that each replica knows."""
+    """The version of the voter set that each replica has stored."""
     proposed_version: int
     """The version of the newest voter set that was proposed."""
     promised_ballots: tuple[int, ...]
@@ -111,7 +120,7 @@
     """
     replica_count = VOTER_COUNT + replacements
     initial_state = State(
-        (0,) * replica_count,
+        (0,) * VOTER_COUNT + (NO_VOTER_SET,) * replacements,
         0,
         (0,) * replica_count,
         ((0, NO_CHANGES),) * replica_count,
@@ -131,7 +140,7 @@
         yield from change_voters(state)
         for replica in range(replica_count):
             if state.known_versions[replica] < state.proposed_version:
-                version = state.known_versions[replica] + version_step
+                version = next_known_version(state, replica)
                 known = _replace_at(state.known_versions, replica, version)
                 yield (
                     f"{replica} learns {version}",
@@ -140,6 +149,12 @@
         for number in range(1, ballots + 1):
             yield from advance_ballot(state, number)
 
+    def next_known_version(state: State, replica: int) -> int:
+        version = state.known_versions[replica]
+        if version == NO_VOTER_SET:
+            return state.proposed_version
+        return version + version_step
+
     def replicas_that_know(state: State, version: int) -> frozenset[int]:
         return frozenset(
             replica
@@ -192,7 +207,7 @@
     def begin_ballot(state: State, number: int) -> Iterator[tuple[str, State]]:
         if number > 1 and state.proposals[number - 2].phase == NOT_STARTED:
             return
-        for known in sorted(set(state.known_versions)):
+        for known in sorted({*state.known_versions} - {NO_VOTER_SET}):
             is_copy = known == state.proposed_version and (
                 state.is_joint_in_force or mutation == "accept_early_copy"
             )
@@ -210,11 +225,19 @@
             or str(replica) not in voter_sets[version].all_voters()
         ):
             return False
+        if not can_answer(state, replica):
+            return False
         is_newer = state.known_versions[replica] > version
         if is_newer and mutation != "ignore_voters_version":
             return False
         return state.promised_ballots[replica] <= number
 
+    def can_answer(state: State, replica: int) -> bool:
+        return (
+            state.known_versions[replica] != NO_VOTER_SET
+            or mutation != "answer_without_voter_set"
+        )
+
     def canonicalise(state: State) -> State:
         """Returns the representative of the states equivalent to this one.
 
@@ -309,6 +332,49 @@
         for shorter, longer in itertools.pairwise(ordered):
             if longer[: len(shorter)] != shorter:
                 return "a decided change was lost"
+        retired = count_retired(state)
+        for lost in range(retired, replica_count):
+            left = frozenset(range(retired, replica_count)) - {lost}
+            violation = find_loss(state, left, ordered)
+            if violation is not None:
+                return violation
+        return None
+
+    def count_retired(state: State) -> int:
+        """Returns how many replicas have been replaced for good."""
+        return max(
+            version // 2
+            for version in range(0, len(voter_sets), 2)
+            if version == 0
+            or is_quorum(version - 1, replicas_that_know(state, version))
+        )
+
+    def find_loss(
+        state: State, left: frozenset[int], decided: list[History]
+    ) -> str | None:
+        """Returns what is lost if only some replicas and their disks are left.
+
+        They read under the newest voter set that one of them has stored.
+        """
+        version = max(state.known_versions[replica] for replica in left)
+        answering = [
+            replica
+            for replica in left
+            if str(replica) in voter_sets[version].all_voters()
+            and can_answer(state, replica)
+        ]
+        if not is_quorum(version, frozenset(answering)):
+            return "after the loss of a disk no quorum answers"
+        if not decided:
+            return None
+        newest_decided = decided[-1]
+        for count in range(1, len(answering) + 1):
+            for members in itertools.combinations(answering, count):
+                if not is_quorum(version, frozenset(members)):
+                    continue
+                _, history = max(state.accepted[one] for one in members)
+                if history[: len(newest_decided)] != newest_decided:
+                    return "a decided change was lost with a disk"
         return None
 
     return _explorer.Model(initial_state, canonical_steps, find_violation)
