--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -317,6 +317,7 @@
         has_changed = False
         for record in update.records:
             has_changed |= self.directory.merge(record, now_ms)
+            has_changed |= self.directory.resend_if_newer(record)
         if self._replica_poller.receive(update, now_ms):
             self._send_poll(update.replica.host)
         self._fetch_newer_states(update)
--- a/bluebelltide/control/_recovered_targets.py
+++ b/bluebelltide/control/_recovered_targets.py
@@ -58,5 +58,5 @@
             if (record := directory.get(target_id)) is not None
             and not record.has_left
             and record.target.generation == recovered.generation
-            and record.target.sequence == recovered.sequence
+            and directory.heard_sequence(target_id) == recovered.sequence
         ]
--- a/bluebelltide/membership/_directory.py
+++ b/bluebelltide/membership/_directory.py
@@ -3,8 +3,10 @@
 Every control replica accepts announcements, even while it is partitioned, and
 replicas and entry instances exchange changed records. The record with the
 highest `(generation, sequence)` of a target wins, so repetition, reordering
-and delay are harmless. The record of a target that left is kept for a while
-as a tombstone. An address belongs to the incarnation that started last.
+and delay are harmless. That holds only as long as a sequence always comes with
+what the target said under it: a lease renewal, which names a sequence without
+the rest, never changes a record. The record of a target that left is kept for a
+while as a tombstone. An address belongs to the incarnation that started last.
 """
 
 from collections.abc import Iterable
@@ -96,12 +98,19 @@
         self._change_indexes: dict[_types.TargetId, int] = {}
         # The same changes by index, oldest first.
         self._changes: dict[int, _types.TargetId] = {}
-        self._last_merged_ms: dict[_types.TargetId, int] = {}
+        # The newest sequence heard of, and when. The record itself may be
+        # older, as renewals do not repeat what the target said.
+        self._heard_sequences: dict[_types.TargetId, int] = {}
+        self._last_heard_ms: dict[_types.TargetId, int] = {}
 
     def get(self, target_id: _types.TargetId) -> TargetRecord | None:
         """Returns the record of a target, or None if it is unknown."""
         return self._records.get(target_id)
 
+    def heard_sequence(self, target_id: _types.TargetId) -> int:
+        """Returns the newest sequence heard of a target's incarnation."""
+        return self._heard_sequences.get(target_id, 0)
+
     def merge(self, record: TargetRecord, now_ms: int) -> bool:
         """Stores a record if it is newer than the known one.
 
@@ -119,15 +128,53 @@
         if known is None and len(self._records) >= MAXIMUM_TARGETS:
             return False
         self._records[target_id] = record
-        self._last_merged_ms[target_id] = now_ms
+        self._hear(known, record, now_ms)
         if not is_material_change(known, record):
             return False
         self._set_hash(target_id, _hash_record(record))
+        self._mark_as_changed(target_id)
+        return True
+
+    def resend_if_newer(self, record: TargetRecord) -> bool:
+        """Marks the known record as changed if a sender lacks it.
+
+        The sender may have renewed the lease since, or have taken the target
+        for lost, and learns what the target said from this directory only.
+
+        Args:
+            record: The record that the sender sent.
+
+        Returns:
+            Whether the known record must be sent to other processes.
+        """
+        target_id = record.target.target_id
+        known = self._records.get(target_id)
+        if known is None or _recency(known) <= _recency(record):
+            return False
+        if not is_material_change(record, known):
+            return False
+        self._mark_as_changed(target_id)
+        return True
+
+    def _hear(
+        self, known: TargetRecord | None, record: TargetRecord, now_ms: int
+    ) -> None:
+        """Records when a sequence was first heard of."""
+        target = record.target
+        is_same_start = (
+            known is not None and known.target.generation == target.generation
+        )
+        heard = self._heard_sequences.get(target.target_id, 0)
+        if is_same_start and target.sequence < heard:
+            return
+        self._heard_sequences[target.target_id] = target.sequence
+        self._last_heard_ms[target.target_id] = now_ms
+
+    def _mark_as_changed(self, target_id: _types.TargetId) -> None:
         self._forget_change(target_id)
         self.last_index += 1
         self._change_indexes[target_id] = self.last_index
         self._changes[self.last_index] = target_id
-        return True
 
     def _set_hash(self, target_id: _types.TargetId, value: int) -> None:
         self.digest ^= self._hashes.pop(target_id, 0) ^ value
@@ -139,16 +186,19 @@
     ) -> None:
         """Renews a target's lease after an announcement to another replica.
 
+        What the target said under that sequence is not known here, so the
+        record stays as it is.
+
         Args:
             target_id: The target.
             sequence: The newest sequence that another replica received.
             now_ms: The current time.
         """
-        known = self._records.get(target_id)
-        if known is None or sequence <= known.target.sequence:
+        if target_id not in self._records:
             return
-        target = known.target._replace(sequence=sequence)
-        self.merge(TargetRecord(target), now_ms)
+        if sequence > self._heard_sequences[target_id]:
+            self._heard_sequences[target_id] = sequence
+            self._last_heard_ms[target_id] = now_ms
 
     def mark_as_left(self, target_id: _types.TargetId, now_ms: int) -> bool:
         """Marks a target as left.
@@ -163,13 +213,16 @@
         known = self._records.get(target_id)
         if known is None or known.has_left:
             return False
-        return self.merge(known._replace(has_left=True), now_ms)
+        # No announcement that was heard of may bring the target back.
+        sequence = max(known.target.sequence, self._heard_sequences[target_id])
+        target = known.target._replace(sequence=sequence)
+        return self.merge(TargetRecord(target, has_left=True), now_ms)
 
     def purge_tombstones(self, now_ms: int) -> None:
         """Removes the records of targets that left long ago."""
-        for target_id, last_merged_ms in list(self._last_merged_ms.items()):
+        for target_id, last_heard_ms in list(self._last_heard_ms.items()):
             has_left = self._records[target_id].has_left
-            if has_left and now_ms - last_merged_ms > TOMBSTONE_MS:
+            if has_left and now_ms - last_heard_ms > TOMBSTONE_MS:
                 self._remove(target_id)
 
     def expire_leases(
@@ -187,8 +240,8 @@
             The targets whose lease expired since the last call.
         """
         expired = []
-        for target_id, last_merged_ms in list(self._last_merged_ms.items()):
-            silent_since_ms = max(last_merged_ms, listening_since_ms)
+        for target_id, last_heard_ms in list(self._last_heard_ms.items()):
+            silent_since_ms = max(last_heard_ms, listening_since_ms)
             has_expired = now_ms - silent_since_ms > lease_ms
             if has_expired and self.mark_as_left(target_id, now_ms):
                 expired.append(target_id)
@@ -196,7 +249,8 @@
 
     def _remove(self, target_id: _types.TargetId) -> None:
         del self._records[target_id]
-        del self._last_merged_ms[target_id]
+        del self._last_heard_ms[target_id]
+        del self._heard_sequences[target_id]
         self._forget_change(target_id)
 
     def _forget_change(self, target_id: _types.TargetId) -> None:
--- a/bluebelltide/membership/_registry.py
+++ b/bluebelltide/membership/_registry.py
@@ -50,6 +50,9 @@
     """When this instance first received the newest sequence."""
     first_received_ms: int
     """When this instance first received the current generation."""
+    heard_sequence: int
+    """The newest sequence that this instance heard of. A renewal names one
+    without the rest of its announcement, so `target` may be older."""
 
 
 class TargetAvailability(NamedTuple):
@@ -104,7 +107,10 @@
         """
         key = (target.service, target.target_id)
         known = self._known.get(key)
-        if known is not None and _recency(target) <= _recency(known.target):
+        if known is not None and _recency(target) <= (
+            known.target.generation,
+            known.heard_sequence,
+        ):
             return _codes.PeerCode.STALE_GENERATION
         is_new_address = known is None or known.target.address != target.address
         if is_new_address and self._has_address_conflict(target, now_ms):
@@ -152,27 +158,35 @@
             known = self._known.get((renewal.service, renewal.target_id))
             if known is None or known.target.generation != renewal.generation:
                 continue
-            if renewal.sequence > known.target.sequence:
+            if renewal.sequence > known.heard_sequence:
+                # The sequence stays that of the announcement: with the newer
+                # one, the announcement that is renewed would be taken for
+                # known and never be stored here.
                 renewed = known.target._replace(
-                    sequence=renewal.sequence,
                     connections=renewal.connections,
                     load_percent=renewal.load_percent,
                 )
-                self._store(renewed, now_ms)
+                self._store(renewed, now_ms, renewal.sequence)
 
-    def _store(self, target: _types.Target, now_ms: int) -> None:
+    def _store(
+        self, target: _types.Target, now_ms: int, heard_sequence: int = 0
+    ) -> None:
         key = (target.service, target.target_id)
         known = self._known.get(key)
         first_received_ms = now_ms
+        heard_sequence = max(heard_sequence, target.sequence)
         if known is not None and (known.target.generation == target.generation):
             first_received_ms = known.first_received_ms
+            heard_sequence = max(heard_sequence, known.heard_sequence)
         if known is None or known.target._replace(sequence=0) != (
             target._replace(sequence=0)
         ):
             self._changed_services.add(target.service)
         self._unindex_address(key)
         self._by_service.setdefault(target.service, set()).add(key)
-        self._known[key] = KnownTarget(target, now_ms, first_received_ms)
+        self._known[key] = KnownTarget(
+            target, now_ms, first_received_ms, heard_sequence
+        )
         self._by_address.setdefault(target.address, set()).add(key)
 
     def _unindex_address(self, key: TargetKey) -> None:
@@ -215,13 +229,14 @@
         return tuple(_renewal(known.target) for known in self._known.values())
 
     def summary(self) -> int:
-        """Returns a hash of the known targets and their generations.
+        """Returns a hash of the known targets, their generations and states.
 
         Sequences are left out: they change all the time, and the next renewal
         brings them up to date anyway.
         """
         text = ";".join(
             f"{service}/{target_id}={known.target.generation}"
+            f"/{known.target.state}"
             for (service, target_id), known in sorted(self._known.items())
         )
         return xxhash.xxh3_64_intdigest(text.encode())
--- a/bluebelltide/spec/_models.py
+++ b/bluebelltide/spec/_models.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from bluebelltide.spec import _bucket_model
+from bluebelltide.spec import _directory_model
 from bluebelltide.spec import _explorer
 from bluebelltide.spec import _register_model
 from bluebelltide.spec import _voters_model
@@ -78,6 +79,12 @@
             WALK_RULES,
             walks=20_000,
         ),
+        NamedModel(
+            "directory",
+            "2 replicas, 1 instance that starts anew, a target that drains",
+            _directory_model.create_directory_model,
+            _directory_model.MUTATIONS,
+        ),
         NamedModel(
             "bucket",
             "3 instances, 1 bucket, 2 targets, 2 flows, owner may die",
