Voters model: a promise brings what was accepted when it was made

The exploration with three ballots found that a decided change was lost with a disk. The trace shows a fault of the model: it read what a replica had accepted when the quorum was complete, and left out a replica that had accepted a later ballot meanwhile. The protocol's promise carries the state with it, and so does the model now.

--- a/bluebelltide/spec/_voters_model.py
+++ b/bluebelltide/spec/_voters_model.py
@@ -62,6 +62,8 @@
     """How far it has got."""
     answers: frozenset[int] = frozenset()
     """The replicas that have answered in this phase."""
+    promised_state: tuple[int, History] = (0, NO_CHANGES)
+    """The newest state that a promise for it brought, with its ballot."""
     history: History = NO_CHANGES
     """The state that it proposes."""
     is_copy: bool = False
@@ -282,6 +284,11 @@
     ) -> Iterator[tuple[str, State]]:
         proposal = state.proposals[number - 1]
         proposal = proposal._replace(answers=proposal.answers | {replica})
+        if proposal.phase == PREPARING:
+            # The replica may accept a later ballot before the quorum is
+            # complete; the promise brings what it had accepted until now.
+            newest = max(proposal.promised_state, state.accepted[replica])
+            proposal = proposal._replace(promised_state=newest)
         next_state = _with_proposal(state, number, proposal)
         next_state = next_state._replace(
             promised_ballots=_replace_at(
@@ -304,18 +311,11 @@
         """Returns the state after a quorum has answered a ballot."""
         proposal = state.proposals[number - 1]
         if proposal.phase == PREPARING:
-            newest = max(
-                (
-                    state.accepted[replica]
-                    for replica in proposal.answers
-                    if state.accepted[replica][0] < number
-                ),
-                default=(0, NO_CHANGES),
-            )
             proposal = proposal._replace(
                 phase=PROPOSING,
                 answers=frozenset(),
-                history=(*newest[1], number),
+                promised_state=(0, NO_CHANGES),
+                history=(*proposal.promised_state[1], number),
             )
             return _with_proposal(state, number, proposal)
         is_copied = state.is_joint_in_force and (
