--- a/bluebelltide/_batch_socket.py
+++ b/bluebelltide/_batch_socket.py
@@ -4,12 +4,9 @@
 from collections.abc import Callable
 import socket
 
-import logbook
-
+from bluebelltide import _guard
 from bluebelltide import _types
 
-_LOG = logbook.Logger("datagrams")
-
 BATCH_DATAGRAMS = 64
 """How many datagrams are read before control returns to the event loop."""
 MAXIMUM_DATAGRAM_BYTES = 65_535
@@ -57,7 +54,7 @@
                 handle(data, sender)
             except Exception as error:
                 # One datagram must not cost the others of the batch.
-                _LOG.exception("a datagram of {} failed: {!r}", sender, error)
+                _guard.report_error("a datagram", error, str(sender))
         return True
 
     def send(self, data: bytes, address: tuple[str, int]) -> bool:
--- a/bluebelltide/_http1.py
+++ b/bluebelltide/_http1.py
@@ -14,6 +14,7 @@
 import logbook
 
 from bluebelltide import _accepting
+from bluebelltide import _guard
 from bluebelltide import _types
 
 MAXIMUM_BODY_BYTES = 2 * 1024 * 1024
@@ -181,7 +182,7 @@
         Args:
             tasks: Serves the connections until it is cancelled.
         """
-        tasks.start_soon(self._serve)
+        _guard.start_forever(tasks, "accepting requests", self._serve)
 
     async def close(self, timeout_s: float) -> None:
         """Stops accepting connections and ends those that are open.
@@ -255,7 +256,7 @@
         try:
             await self._serve_connection(stream)
         except Exception as error:
-            _LOG.exception("a connection failed: {!r}", error)
+            _guard.report_error("a connection", error)
 
     async def _serve_connection(self, stream: anyio.abc.ByteStream) -> None:
         """Serves the requests of one connection, one after the other."""
@@ -298,9 +299,8 @@
             try:
                 return await self._handler(request)
             except Exception as error:
-                _LOG.exception(
-                    "{} {} failed: {!r}", request.method, request.path, error
-                )
+                subject = f"{request.method} {request.path}"
+                _guard.report_error("a request", error, subject)
                 return Response(500)
             finally:
                 self._handling.discard(scope)
--- a/bluebelltide/control/_catalogue_replica.py
+++ b/bluebelltide/control/_catalogue_replica.py
@@ -337,7 +337,9 @@
         try:
             async with anyio.create_task_group() as tasks:
                 async for message in link.messages():
-                    tasks.start_soon(self._on_message, link, message)
+                    _guard.start(
+                        tasks, "a message", self._on_message, link, message
+                    )
                 tasks.cancel_scope.cancel()
         finally:
             if self.replica_links.get(identity) is link:
@@ -383,7 +385,7 @@
                     acceptor_state.state.version > known.version
                     and self.is_voter
                 ):
-                    with _guard.log_errors(f"repairing {key}"):
+                    with _guard.log_errors("repairing", key):
                         await self.read(key)
             await anyio.sleep(REPAIR_INTERVAL_MS / 1000)
 
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -108,6 +108,7 @@
         )
         self._settings = settings
         self._metrics = metrics
+        _guard.count_errors_in(metrics)
         self._started_ms = _clock.now_ms()
         self._run_id = random.getrandbits(31) | 1
         self._renewals = _renewals.Renewals(self.directory)
@@ -158,13 +159,24 @@
         listener = await anyio.create_tcp_listener(
             local_host=address.host, local_port=address.port
         )
-        tasks.start_soon(
-            _accepting.accept_forever, listener, self._serve_call, tasks
+        _guard.start_forever(
+            tasks,
+            "accepting calls",
+            _accepting.accept_forever,
+            listener,
+            self._serve_call,
+            tasks,
+        )
+        _guard.start_forever(tasks, "polling", self._poll_forever)
+        _guard.start_forever(
+            tasks, "confirming and planning", self._confirm_and_plan_forever
+        )
+        _guard.start_forever(
+            tasks, "saving for a restart", self._save_for_restart_forever
+        )
+        _guard.start(
+            tasks, "notifying of a restart", self._notify_previous_instances
         )
-        tasks.start_soon(self._poll_forever)
-        tasks.start_soon(self._confirm_and_plan_forever)
-        tasks.start_soon(self._save_for_restart_forever)
-        tasks.start_soon(self._notify_previous_instances)
         events.write("started", identity=self._own_replica.identity)
 
     def close(self) -> None:
@@ -338,7 +350,9 @@
     def _start_fetch(self, replica: _datagrams.Replica, key: str) -> None:
         if key not in self._keys_being_fetched and self._tasks is not None:
             self._keys_being_fetched.add(key)
-            self._tasks.start_soon(self._fetch, replica, key)
+            _guard.start(
+                self._tasks, "fetching a state", self._fetch, replica, key
+            )
 
     async def _fetch(self, replica: _datagrams.Replica, key: str) -> None:
         address = _types.Address(replica.host, self._settings.port)
--- a/bluebelltide/control/_proposals.py
+++ b/bluebelltide/control/_proposals.py
@@ -12,6 +12,7 @@
 import anyio.abc
 import anyio.streams.memory
 
+from bluebelltide import _guard
 from bluebelltide import _types
 from bluebelltide.catalogue import _register
 from bluebelltide.messaging import _calls
@@ -68,7 +69,15 @@
         len(identities) + 1
     )
     for identity in identities:
-        tasks.start_soon(_call_voter, origin, identity, request, sender.clone())
+        _guard.start(
+            tasks,
+            "calling a voter",
+            _call_voter,
+            origin,
+            identity,
+            request,
+            sender.clone(),
+        )
     sender.close()
     return receiver
 
--- a/bluebelltide/control/_service.py
+++ b/bluebelltide/control/_service.py
@@ -6,6 +6,7 @@
 import anyio
 import logbook
 
+from bluebelltide import _guard
 from bluebelltide import _http
 from bluebelltide import _metrics
 from bluebelltide import _program
@@ -111,7 +112,7 @@
                     metrics,
                     on_outgoing,
                 )
-        tasks.start_soon(replica.repair_forever)
+        _guard.start_forever(tasks, "repairing", replica.repair_forever)
         _LOG.info(
             "replica {} ready: peers on {}, operators on {}",
             replica.identity,
--- a/bluebelltide/control/_update_sender.py
+++ b/bluebelltide/control/_update_sender.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from bluebelltide import _clock
+from bluebelltide import _guard
 from bluebelltide import _types
 from bluebelltide.control import _update_publisher
 
@@ -57,7 +58,7 @@
             self._push_now()
             return
         self._is_round_pending = True
-        self._tasks.start_soon(self._push_later, wait_ms)
+        _guard.start(self._tasks, "sending updates", self._push_later, wait_ms)
 
     async def _push_later(self, wait_ms: int) -> None:
         await anyio.sleep(wait_ms / 1000)
@@ -69,7 +70,9 @@
         urgent_ids = tuple(self._urgent_ids)
         self._last_round_ms = now_ms
         self._urgent_ids.clear()
-        for outgoing in self._publisher.make_updates(
-            self._read_status(), now_ms, urgent_ids
-        ):
-            self._send(outgoing.host, outgoing.encoded.data)
+        # The change itself is stored, and the next polls ask for it.
+        with _guard.log_errors("sending updates"):
+            for outgoing in self._publisher.make_updates(
+                self._read_status(), now_ms, urgent_ids
+            ):
+                self._send(outgoing.host, outgoing.encoded.data)
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -97,6 +97,7 @@
         self._settings = settings
         self._read_deployment = read_deployment
         self._metrics = metrics
+        _guard.count_errors_in(metrics)
         self._placer = create_placer(settings.data_centre, random.random)
         self._directory = _directory.TargetDirectory()
         self._refuse_target = _target_records.make_refusal_handler(metrics)
@@ -150,8 +151,8 @@
         _http1.open_http_server(
             settings.ready_address, self._answer_readiness
         ).start(tasks)
-        tasks.start_soon(self._poll_replicas_forever)
-        tasks.start_soon(self._maintain_forever)
+        _guard.start_forever(tasks, "polling", self._poll_replicas_forever)
+        _guard.start_forever(tasks, "maintenance", self._maintain_forever)
         events.write("started", address=str(settings.packet_address))
 
     def close(self) -> None:
@@ -276,7 +277,9 @@
             self._offering_replica = replica
         if not self._is_fetching and self._tasks is not None:
             self._is_fetching = True
-            self._tasks.start_soon(self._fetch_guarded)
+            _guard.start(
+                self._tasks, "fetching the deployment", self._fetch_deployment
+            )
 
     def _apply_targets_soon(self) -> None:
         """Applies changed targets now, or a little later if they are many.
@@ -292,13 +295,17 @@
             return
         self._is_applying_targets = True
         delay_ms = APPLY_DELAY_MS_PER_TARGET * target_count
-        self._tasks.start_soon(self._apply_targets_later, delay_ms)
+        _guard.start(
+            self._tasks,
+            "applying targets",
+            self._apply_targets_later,
+            delay_ms,
+        )
 
     async def _apply_targets_later(self, delay_ms: float) -> None:
         await anyio.sleep(delay_ms / 1000)
         self._is_applying_targets = False
-        with _guard.log_errors("applying targets"):
-            self._apply_targets()
+        self._apply_targets()
 
     def _apply_targets(self) -> None:
         known, accepting = _token_front.index_targets_by_token(
@@ -314,10 +321,6 @@
         routes = self._front.routes
         return -1 if routes is None else routes.deployment.version
 
-    async def _fetch_guarded(self) -> None:
-        with _guard.log_errors("fetching the deployment"):
-            await self._fetch_deployment()
-
     async def _fetch_deployment(self) -> None:
         """Fetches and applies the newest deployment that a replica has.
 
--- a/bluebelltide/entry/_flows.py
+++ b/bluebelltide/entry/_flows.py
@@ -84,13 +84,14 @@
             self._send_to_instance,
             self._send,
         )
-        self._tasks.start_soon(
-            self._fabric_socket.receive_forever, front.on_fabric_datagram
-        )
-        self._tasks.start_soon(
-            self._relay_socket.receive_forever, front.on_relayed_datagram
-        )
-        self._tasks.start_soon(self._tick_forever)
+        for activity, opened_socket, handle in (
+            ("fabric packets", self._fabric_socket, front.on_fabric_datagram),
+            ("relayed packets", self._relay_socket, front.on_relayed_datagram),
+        ):
+            _guard.start_forever(
+                self._tasks, activity, opened_socket.receive_forever, handle
+            )
+        _guard.start_forever(self._tasks, "flow routing", self._tick_forever)
 
     async def close(self) -> None:
         """Transfers the buckets of this instance, then closes the sockets."""
--- a/bluebelltide/entry/_mesh.py
+++ b/bluebelltide/entry/_mesh.py
@@ -102,9 +102,12 @@
         """Starts to open links to the configured peers and to run timers."""
         for address in self._entry_settings.peers:
             self._maintain_link(address)
-        self._tasks.start_soon(self._tick_forever)
-        self._tasks.start_soon(self._send_target_updates_forever)
-        self._tasks.start_soon(self._send_summaries_forever)
+        for activity, loop in (
+            ("failure detection", self._tick_forever),
+            ("sending targets", self._send_target_updates_forever),
+            ("sending summaries", self._send_summaries_forever),
+        ):
+            _guard.start_forever(self._tasks, activity, loop)
 
     async def close(self) -> None:
         """Notifies the other instances that this one leaves as planned."""
--- a/bluebelltide/entry/_service.py
+++ b/bluebelltide/entry/_service.py
@@ -102,8 +102,12 @@
                 self.metrics,
                 self._serve_control_link,
             )
-        self._tasks.start_soon(self._apply_catalogue_forever)
-        self._tasks.start_soon(self._tick_forever)
+        _guard.start_forever(
+            self._tasks, "applying the catalogue", self._apply_catalogue_forever
+        )
+        _guard.start_forever(
+            self._tasks, "a tick of the instance", self._tick_forever
+        )
 
     async def close(self) -> None:
         """Stops gracefully; returns when all flows ended or on a timeout."""
--- a/bluebelltide/messaging/_calls.py
+++ b/bluebelltide/messaging/_calls.py
@@ -11,15 +11,13 @@
 
 import anyio
 import anyio.abc
-import logbook
 
 from bluebelltide import _codec
 from bluebelltide import _exceptions
+from bluebelltide import _guard
 from bluebelltide import _types
 from bluebelltide.catalogue import _register
 
-_LOG = logbook.Logger("calls")
-
 MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024
 """Upper bound of the size of a request or an answer."""
 SERVE_TIMEOUT_S = 10.0
@@ -207,4 +205,4 @@
             return
         except Exception as error:
             # An unexpected error ends this call, not the process.
-            _LOG.exception("a call failed: {!r}", error)
+            _guard.report_error("a call", error)
--- a/bluebelltide/peers/_links.py
+++ b/bluebelltide/peers/_links.py
@@ -213,7 +213,7 @@
                 link = await _exchange_hello(connection, local_hello, metrics)
                 if link is not None:
                     delay_ms = INITIAL_RECONNECT_DELAY_MS
-                    with _guard.log_errors(f"the link to {address}"):
+                    with _guard.log_errors("a link", str(address)):
                         await handler(link)
         await anyio.sleep(random.uniform(0.5, 1.0) * delay_ms / 1000)
         delay_ms = min(MAXIMUM_RECONNECT_DELAY_MS, 2 * delay_ms)
