--- a/bluebelltide/_types.py
+++ b/bluebelltide/_types.py
@@ -20,8 +20,6 @@
 """The highest TCP or UDP port."""
 MAXIMUM_PORT_DIGITS = 5
 """The number of digits of the highest port."""
-MAXIMUM_SEQUENCE = 2**32 - 1
-"""Upper bound of a sequence; lease renewals send it in 32 bits."""
 MAXIMUM_SLOTS = 1_000_000
 """Upper bound of the slots of a target, far above what one target runs."""
 MAXIMUM_INT64 = 2**63 - 1
@@ -129,7 +127,7 @@
     """The data centre that the target is in."""
     generation: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INT64)]
     """Increases each time the target's process starts."""
-    sequence: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_SEQUENCE)]
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INT64)]
     """Increases with each announcement of one generation."""
     state: TargetState
     """The state that the target reports."""
--- a/bluebelltide/catalogue/_deployment.py
+++ b/bluebelltide/catalogue/_deployment.py
@@ -101,11 +101,17 @@
 
 
 class RouteTable:
-    """Finds routes by the address and port that callers send to."""
+    """Finds routes by the address and port that callers send to.
+
+    Attributes:
+        deployment: The deployment.
+        services: The names of its services.
+    """
 
     def __init__(self, deployment: Deployment) -> None:
         """Indexes a deployment."""
         self.deployment = deployment
+        self.services = frozenset(deployment.services)
         self._routes = {
             (route.host, route.port): route for route in deployment.routes
         }
--- a/bluebelltide/entry/_announce.py
+++ b/bluebelltide/entry/_announce.py
@@ -17,6 +17,7 @@
 from bluebelltide import _types
 from bluebelltide.catalogue import _view
 from bluebelltide.membership import _registry
+from bluebelltide.membership import _target_records
 
 MAXIMUM_LEASE_MS = 60_000
 """Maximum lease of a target; longer ones are shortened."""
@@ -102,7 +103,10 @@
         fields = announcement._replace(
             lease_ms=min(MAXIMUM_LEASE_MS, lease_ms)
         )._asdict()
-        target = _types.Target(data_centre=self._data_centre, **fields)
+        target = _target_records.check_fields(
+            _types.Target(data_centre=self._data_centre, **fields),
+            "announcement",
+        )
         refusal = self._registry.announce(target, now_ms)
         if refusal is not None:
             self._metrics.count("peer", refusal)
@@ -177,6 +181,7 @@
             if error.code in (
                 _exceptions.ErrorCode.TOO_LARGE,
                 _exceptions.ErrorCode.BAD_REQUEST,
+                _exceptions.ErrorCode.BAD_TARGET,
             ):
                 metrics.count("peer", _codes.PeerCode.BAD_ANNOUNCEMENT)
             status_code = _HTTP_STATUS_OF_CODE.get(error.code, 400)
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -308,9 +308,11 @@
         self._apply_targets()
 
     def _apply_targets(self) -> None:
+        routes = self._front.routes
+        services = None if routes is None else routes.services
         known, accepting = _token_front.index_targets_by_token(
             list(self._directory.incarnations()),
-            self._directory.live_targets(),
+            self._directory.live_targets(services),
         )
         self._front.use_targets(known, accepting)
         events.write(
@@ -365,7 +367,12 @@
             self._metrics.count("deployment", "unreadable")
             events.write("deployment_unreadable", error=str(error))
             return
-        self._front.routes = _deployment.RouteTable(deployment)
+        previous = self._front.routes
+        routes = _deployment.RouteTable(deployment)
+        self._front.routes = routes
+        if previous is None or previous.services != routes.services:
+            # Which targets count depends on the services.
+            self._apply_targets()
         self._front.is_view_current = True
         self._is_confirmed = is_committed
         events.write(
--- a/bluebelltide/entry/tests/test_announce.py
+++ b/bluebelltide/entry/tests/test_announce.py
@@ -70,6 +70,11 @@
     ("bad state", {"state": "sleepy"}, Code.BAD_REQUEST, ""),
     ("unknown field", {"colour": 1}, Code.BAD_REQUEST, ""),
     ("host name", {"address": "localhost:1"}, Code.BAD_REQUEST, ""),
+    # Peers could not read these, or not compute with them.
+    ("huge slots", {"slots": 10**400}, Code.BAD_TARGET, ""),
+    ("huge sequence", {"sequence": 2**63}, Code.BAD_TARGET, ""),
+    ("unsendable id", {"target_id": "t\ud800"}, Code.BAD_TARGET, ""),
+    ("long id", {"target_id": "t" * 256}, Code.BAD_TARGET, ""),
     (
         "older generation",
         {"generation": 4, "sequence": 99},
--- a/bluebelltide/entry/tests/test_direct_service.py
+++ b/bluebelltide/entry/tests/test_direct_service.py
@@ -187,3 +187,26 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+def test_a_new_deployment_decides_anew_which_targets_count() -> None:
+    """Guards against targets that stay unused until the next one changes."""
+    deployment = test_token_front.DEPLOYMENT
+    entry = make_entry()
+    other = test_directory.make_target("i-other", generation=300)
+    other = other._replace(service="elsewhere")
+    real = test_directory.make_target("i-real")
+    real = real._replace(service=deployment.services[0])
+    for target in (real, other):
+        entry._directory.merge(_directory.TargetRecord(target), 0)
+    entry._apply_targets()
+    assert accepting_ids(entry) == {"i-other"}
+    entry._apply_deployment(_deployment.compress_document(b""), True)
+    assert accepting_ids(entry) == {"i-real"}
+
+
+def accepting_ids(entry: _direct_service.DirectEntry) -> set[str]:
+    return {
+        entry._front._endpoints[token].target_id
+        for token in entry._placer._accepting
+    }
--- a/bluebelltide/membership/_directory.py
+++ b/bluebelltide/membership/_directory.py
@@ -6,10 +6,11 @@
 and delay are harmless. That holds only as long as a sequence always comes with
 what the target said under it: a lease renewal, which names a sequence without
 the rest, never changes a record. The record of a target that left is kept for a
-while as a tombstone. An address belongs to the incarnation that started last.
+while as a tombstone. An address belongs to the incarnation that started last
+among those of services that the deployment names.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import NamedTuple
 
 import xxhash
@@ -285,16 +286,27 @@
         """Returns the targets of all records, tombstones included."""
         return [record.target for record in self._records.values()]
 
-    def live_targets(self) -> list[_types.Target]:
+    def live_targets(
+        self, services: Container[_types.ServiceName] | None = None
+    ) -> list[_types.Target]:
         """Returns the targets that have not left.
 
         If several records have the same address, only the target that started
         last may count: a delayed announcement of an earlier one must not
-        return the address to it.
+        return the address to it. A target of an unknown service cannot be
+        used, so it takes the address of no other one.
+
+        Args:
+            services: The services that the deployment names; all if None.
+
+        Returns:
+            The targets of these services.
         """
         owners: dict[_types.Address, _types.Target] = {}
         for record in self._records.values():
             target = record.target
+            if services is not None and target.service not in services:
+                continue
             owner = owners.get(target.address)
             if owner is None or target.generation > owner.generation:
                 owners[target.address] = target
--- a/bluebelltide/membership/_target_records.py
+++ b/bluebelltide/membership/_target_records.py
@@ -22,12 +22,14 @@
 RefusalHandler = Callable[[_exceptions.BluebelltideError], None]
 """Receives the error of each entry that is refused."""
 
+MAXIMUM_SEQUENCE = 2**32 - 1
+"""Upper bound of a sequence; polls carry it in 32 bits."""
 MAXIMUM_CACHED_HOSTS = 20_000
 """How many hosts are remembered as callable."""
 
 
-def check_target(target: _types.Target, source: str) -> _types.Target:
-    """Checks a target whose fields may still have any types and values.
+def check_fields(target: _types.Target, source: str) -> _types.Target:
+    """Checks the ranges of a target's fields, which may be anything yet.
 
     Args:
         target: The target as it was announced.
@@ -37,30 +39,46 @@
         The target.
 
     Raises:
-        BluebelltideError: With BAD_TARGET or BAD_ADDRESS if it is refused.
+        BluebelltideError: With BAD_TARGET if it is refused.
     """
     # Values that already have the type would not be checked.
     plain = [list(one) if isinstance(one, tuple) else one for one in target]
     try:
-        checked = msgspec.convert(plain, _types.Target)
+        return msgspec.convert(plain, _types.Target)
     except (msgspec.ValidationError, ValueError, TypeError) as error:
         raise _exceptions.BluebelltideError(
             _exceptions.ErrorCode.BAD_TARGET, str(error), source
         ) from error
-    check_callable(checked.address, source)
-    return checked
 
 
-def check_callable(address: _types.Address, source: str) -> None:
-    """Checks that a packet can be sent to an address.
+def check_target(target: _types.Target, source: str) -> _types.Target:
+    """Checks a target that was announced in a direct deployment.
 
     Args:
-        address: The address.
-        source: Where it comes from, for the error.
+        target: The target as it was announced.
+        source: Where the target comes from, for the error.
+
+    Returns:
+        The target.
 
     Raises:
-        BluebelltideError: With BAD_ADDRESS if nothing can be called there.
+        BluebelltideError: With BAD_TARGET or BAD_ADDRESS if it is refused.
     """
+    checked = check_fields(target, source)
+    _check_for_direct_use(checked, source)
+    return checked
+
+
+def _check_for_direct_use(target: _types.Target, source: str) -> None:
+    """Checks that packets reach a target and polls can renew its lease."""
+    if target.sequence > MAXIMUM_SEQUENCE:
+        raise _exceptions.BluebelltideError(
+            _exceptions.ErrorCode.BAD_TARGET,
+            f"expected a sequence up to {MAXIMUM_SEQUENCE}, found "
+            f"{target.sequence}",
+            source,
+        )
+    address = target.address
     is_port = 1 <= address.port <= _types.MAXIMUM_PORT
     if not is_port or not _is_callable_host(address.host):
         raise _exceptions.BluebelltideError(
@@ -102,7 +120,7 @@
         raise _exceptions.BluebelltideError(
             _exceptions.ErrorCode.BAD_TARGET, error.message, source
         ) from error
-    check_callable(record.target.address, source)
+    _check_for_direct_use(record.target, source)
     return record
 
 
@@ -116,6 +134,27 @@
     )
 
 
+def read_targets(
+    plain: Iterable[object], source: str
+) -> tuple[_types.Target, ...]:
+    """Checks plain targets of instances that gossip, each one by itself.
+
+    Args:
+        plain: The plain targets.
+        source: Where they come from, for the log.
+
+    Returns:
+        Those that are not refused.
+    """
+    targets = []
+    for entry in plain:
+        try:
+            targets.append(_codec.from_plain(entry, _types.Target, source))
+        except _exceptions.BluebelltideError as error:
+            log_refusal(error)
+    return tuple(targets)
+
+
 def read_records(
     plain: object, source: str, refuse: RefusalHandler
 ) -> tuple[_directory.TargetRecord, ...]:
--- a/bluebelltide/membership/tests/test_directory.py
+++ b/bluebelltide/membership/tests/test_directory.py
@@ -103,6 +103,27 @@
     assert [t.target_id for t in directory.live_targets()] == ["i-new"]
 
 
+def test_a_target_of_an_unknown_service_takes_no_address() -> None:
+    """Guards against entries that leave a whole service unserved."""
+    real = make_target("i-real", generation=100)
+    other = make_target("i-other", generation=300)._replace(service="elsewhere")
+    reused = make_target("i-reused", generation=200)._replace(service="new")
+    for order in itertools.permutations((real, other)):
+        directory = _directory.TargetDirectory()
+        for target in order:
+            directory.merge(_directory.TargetRecord(target), 0)
+        assert directory.live_targets(frozenset({"dues"})) == [real]
+    # An address that another known service uses again belongs to that one.
+    for order in itertools.permutations((real, other, reused)):
+        directory = _directory.TargetDirectory()
+        for target in order:
+            directory.merge(_directory.TargetRecord(target), 0)
+        assert directory.live_targets(frozenset({"dues", "new"})) == [reused]
+        assert directory.live_targets(frozenset({"dues"})) == [real]
+        directory.mark_as_left("i-reused", 0)
+        assert directory.live_targets(frozenset({"dues", "new"})) == []
+
+
 def test_a_delayed_record_does_not_restore_a_target_that_left() -> None:
     directory = _directory.TargetDirectory()
     target = make_target(sequence=5)
--- a/bluebelltide/peers/_frames.py
+++ b/bluebelltide/peers/_frames.py
@@ -10,6 +10,7 @@
 from bluebelltide.flows import _messages
 from bluebelltide.membership import _registry
 from bluebelltide.membership import _swim
+from bluebelltide.membership import _target_records
 
 MAXIMUM_FRAME_BYTES = 256 * 1024
 """Upper bound of the size of a frame."""
@@ -162,5 +163,17 @@
             _exceptions.ErrorCode.BAD_FRAME, "expected [kind, fields]", "frame"
         )
     kind, fields = plain
+    if kind == TargetsAnnounced.__name__:
+        return TargetsAnnounced(_read_targets(fields, kind))
     message: Message = _codec.from_plain(fields, MESSAGE_TYPES[kind], kind)
     return message
+
+
+def _read_targets(fields: object, source: str) -> tuple[_types.Target, ...]:
+    """Reads targets, each by itself: a bad one costs not the others."""
+    if not isinstance(fields, list) or len(fields) != 1:
+        raise _exceptions.BluebelltideError(
+            _exceptions.ErrorCode.BAD_FRAME, "expected a list", source
+        )
+    plain_targets = _codec.from_plain(fields[0], list[object], source)
+    return _target_records.read_targets(plain_targets, source)
