--- a/bluebelltide/catalogue/_deployment.py
+++ b/bluebelltide/catalogue/_deployment.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from bluebelltide import _exceptions
+from bluebelltide import _types
 from bluebelltide.catalogue import _register
 
 DEPLOYMENT_KEY = "deployment"
@@ -90,6 +91,8 @@
             raise _route_error(route, f"unknown service {share.service!r}")
     if sum(share.weight for share in route.shares) <= 0:
         raise _route_error(route, "no service has a positive weight")
+    if not 0 <= route.port <= _types.MAXIMUM_PORT:
+        raise _route_error(route, f"there is no port {route.port}")
     if route.timeout_ms <= 0:
         raise _route_error(route, "the timeout must be positive")
 
