--- a/bluebelltide/entry/tests/test_datagram_fuzzing.py
+++ b/bluebelltide/entry/tests/test_datagram_fuzzing.py
@@ -15,12 +15,18 @@
 SENDER = ("10.0.0.1", 7000)
 INTEGERS = strategies.integers(-(2**63), 2**63)
 TEXTS = strategies.text(max_size=12)
+# Values that pass the checks of a datagram are drawn about as often as others.
+NAMES = TEXTS | strategies.sampled_from(["dues", "i-1", "north"])
+ADDRESS_HOSTS = TEXTS | strategies.sampled_from(["10.0.0.1", "10.0.0.2"])
+IDENTITIES = TEXTS | strategies.sampled_from(["10.0.0.1~0", "10.0.0.2~a1"])
 TARGETS = strategies.builds(
     _types.Target,
-    TEXTS,
-    TEXTS,
-    strategies.builds(_types.Address, TEXTS, INTEGERS),
-    TEXTS,
+    NAMES,
+    NAMES,
+    strategies.builds(
+        _types.Address, ADDRESS_HOSTS, INTEGERS | strategies.just(80)
+    ),
+    NAMES,
     INTEGERS,
     INTEGERS,
     strategies.sampled_from(_types.TargetState),
@@ -32,8 +38,8 @@
 RECORDS = strategies.builds(
     _directory.TargetRecord, TARGETS, strategies.booleans()
 )
-REPLICAS = strategies.builds(_datagrams.Replica, TEXTS, TEXTS)
-HOSTS = strategies.lists(TEXTS, max_size=4).map(tuple)
+REPLICAS = strategies.builds(_datagrams.Replica, IDENTITIES, TEXTS)
+HOSTS = strategies.lists(ADDRESS_HOSTS, max_size=4).map(tuple)
 UPDATES = strategies.builds(
     _datagrams.Update,
     REPLICAS,
@@ -51,7 +57,7 @@
 )
 LOAD_REPORTS = strategies.builds(
     _datagrams.LoadReport,
-    TEXTS,
+    ADDRESS_HOSTS,
     strategies.dictionaries(INTEGERS, INTEGERS, max_size=4),
     strategies.lists(INTEGERS, max_size=4).map(tuple),
     strategies.dictionaries(INTEGERS, INTEGERS, max_size=4),
