--- a/bluebelltide/_http1.py
+++ b/bluebelltide/_http1.py
@@ -182,7 +182,7 @@
         Args:
             tasks: Serves the connections until it is cancelled.
         """
-        _guard.start_forever(tasks, "accepting requests", self._serve)
+        tasks.start_soon(self._serve)
 
     async def close(self, timeout_s: float) -> None:
         """Stops accepting connections and ends those that are open.
@@ -221,11 +221,15 @@
     async def _accept_forever(self, connections: anyio.abc.TaskGroup) -> None:
         try:
             while True:
-                # Unlike accepting, waiting may be cancelled without the loss
-                # of a connection.
-                await anyio.wait_readable(self._listener)
-                if not self._accept_all(connections):
-                    await anyio.sleep(_accepting.RETRY_DELAY_S)
+                # An error here must not close the listener, which would leave
+                # a process that nobody can reach.
+                with _guard.log_errors("accepting requests"):
+                    # Unlike accepting, waiting may be cancelled without the
+                    # loss of a connection.
+                    await anyio.wait_readable(self._listener)
+                    if self._accept_all(connections):
+                        continue
+                await anyio.sleep(_accepting.RETRY_DELAY_S)
         finally:
             # Connections that were not accepted yet would be reset.
             self._accept_all(connections)
--- a/bluebelltide/tests/test_http1_faults.py
+++ b/bluebelltide/tests/test_http1_faults.py
@@ -95,3 +95,27 @@
     attempts, was_answered = anyio.run(run)
     assert attempts <= 10
     assert was_answered
+
+
+def test_an_unexpected_error_while_accepting_leaves_the_server_reachable(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that runs on with a closed listener."""
+
+    def fail(*args: object) -> bool:
+        raise RuntimeError("accepting")
+
+    async def run() -> bool:
+        server = _http1.open_http_server(_types.Address("127.0.0.1", 0), answer)
+        async with anyio.create_task_group() as tasks:
+            with monkeypatch.context() as patch:
+                patch.setattr(_http1.HttpServer, "_accept_all", fail)
+                server.start(tasks)
+                with socket.create_connection(("127.0.0.1", server.port)):
+                    await anyio.sleep(0.05)
+            with anyio.fail_after(5):
+                was_answered = await is_answered(server.port)
+            tasks.cancel_scope.cancel()
+        return was_answered
+
+    assert anyio.run(run)
