--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,7 +18,7 @@
 """`catchupS` of the small deployments."""
 GAP_S = 2.0
 """Time from the end of the first removed process to the second SIGTERM."""
-WATCH_S = 60
+WATCH_S = 45
 """How long the operator goes on afterwards: recoveryS 12, maxStretchMs 12 s,
 ackTimeoutMs 5 s and contactMs 4 s are 33 s together."""
 
