review/lib-2: lock the loopback network of a script

Cause: two scripts at the same time could pick the same network; one ended with 2. Change: each script holds a lock on its network.

--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -48,17 +48,19 @@
         print(line, flush=True)
 
 
+_LOCK = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+"""Holds the network of this script, so that no other script takes it."""
+
+
 def free_block():
     """Returns a free loopback network, as the first two parts of addresses."""
-    for _ in range(50):
-        block = f"127.{random.randint(20, 90)}"
+    for number in random.sample(range(20, 99), 79):
+        block = f"127.{number}"
         try:
-            for port, kind in ((API_PORT, socket.SOCK_STREAM), (INTERNAL_PORT, socket.SOCK_DGRAM)):
-                with socket.socket(socket.AF_INET, kind) as probe:
-                    probe.bind((f"{block}.1.1", port))
-            return block
+            _LOCK.bind((f"{block}.250.1", 7799))
         except OSError:
             continue
+        return block
     raise OSError("no free loopback network")
 
 
