Log why a control replica has no quorum

Change: each proposal is logged and measured however it ends; voters_seen tells the voter set, the live voters and standbys and whether they are a quorum, whenever that changes; counter voters.no_quorum.

--- a/bluebelltide/control/_deployment_replica.py
+++ b/bluebelltide/control/_deployment_replica.py
@@ -525,10 +525,31 @@
         proposal = _register.Proposal(key, proposer, voters, apply_function)
         result: _register.ChangeResult | None = None
         started_s = time.monotonic()
-        with anyio.move_on_after(PROPOSAL_TIMEOUT_MS / 1000):
-            result = await _proposals.run_proposal(
-                proposal, lambda: self._promised_round(key), self._call_voters
-            )
+        try:
+            with anyio.move_on_after(PROPOSAL_TIMEOUT_MS / 1000):
+                result = await _proposals.run_proposal(
+                    proposal,
+                    lambda: self._promised_round(key),
+                    self._call_voters,
+                )
+        finally:
+            # The time limit of a caller may end the proposal, too.
+            self._record_proposal(key, voters, started_s, result)
+        if result is None:
+            return UNCERTAIN
+        # The state is committed even if the change conflicted with it.
+        self.learn(key, result.state)
+        if result.code is not None:
+            return UNCERTAIN
+        return Outcome(True, result.state)
+
+    def _record_proposal(
+        self,
+        key: str,
+        voters: _register.Voters,
+        started_s: float,
+        result: _register.ChangeResult | None,
+    ) -> None:
         spent_ms = int((time.monotonic() - started_s) * 1000)
         self._metrics.observe_ms("proposal_ms", spent_ms)
         events.write(
@@ -539,13 +560,6 @@
             voters_version=voters.version,
             spent_ms=spent_ms,
         )
-        if result is None:
-            return UNCERTAIN
-        # The state is committed even if the change conflicted with it.
-        self.learn(key, result.state)
-        if result.code is not None:
-            return UNCERTAIN
-        return Outcome(True, result.state)
 
     def _promised_round(self, key: str) -> int:
         return self._acceptor_states.get(
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -128,6 +128,7 @@
         self._publisher: _update_publisher.UpdatePublisher | None = None
         self._update_sender: _update_sender.UpdateSender | None = None
         self._replica_poller: _replica_poller.ReplicaPoller | None = None
+        self._voter_status: _voter_replacement.VoterStatus | None = None
         self._socket: _batch_socket.BatchSocket | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -530,6 +531,7 @@
         cluster_view = self._cluster_view()
         if cluster_view is None:
             return
+        self._log_voter_status(cluster_view)
         next_voters = _voter_replacement.plan_next_voters(cluster_view)
         if next_voters is None:
             return
@@ -542,3 +544,23 @@
             version=cluster_view.voters.version,
             outcome="in_force" if is_done else "not_finished",
         )
+
+    def _log_voter_status(
+        self, cluster_view: _voter_replacement.ClusterView
+    ) -> None:
+        """Logs which voters are alive whenever that changes."""
+        status = _voter_replacement.voter_status(cluster_view)
+        if status == self._voter_status:
+            return
+        self._voter_status = status
+        if not status.is_quorum_alive:
+            self._metrics.count("voters", "no_quorum")
+        events.write(
+            "voters_seen",
+            version=status.voters.version,
+            voters=list(status.voters.voters),
+            next_voters=list(status.voters.next_voters),
+            live_voters=list(status.live_voters),
+            standbys=list(status.standbys),
+            is_quorum_alive=status.is_quorum_alive,
+        )
--- a/bluebelltide/control/_voter_replacement.py
+++ b/bluebelltide/control/_voter_replacement.py
@@ -44,6 +44,32 @@
     """The current time."""
 
 
+class VoterStatus(NamedTuple):
+    """Which voters and standby replicas one replica knows to be alive."""
+
+    voters: _register.Voters
+    """The committed voter set."""
+    live_voters: tuple[str, ...]
+    """The identities of the voters of both sets that are alive."""
+    standbys: tuple[str, ...]
+    """The identities of the other replicas that are alive."""
+    is_quorum_alive: bool
+    """Whether the live voters are a quorum."""
+
+
+def voter_status(cluster_view: ClusterView) -> VoterStatus:
+    """Returns which voters and standby replicas are alive, for the log."""
+    voters = cluster_view.voters
+    alive = set(_alive_replicas(cluster_view))
+    all_voters = set(voters.all_voters())
+    return VoterStatus(
+        voters,
+        tuple(sorted(alive & all_voters)),
+        tuple(sorted(alive - all_voters)),
+        voters.is_quorum(alive),
+    )
+
+
 def plan_next_voters(cluster_view: ClusterView) -> tuple[str, ...] | None:
     """Plans one change of the voter set.
 
