--- a/bluebelltide/control/tests/test_removed_replicas.py
+++ b/bluebelltide/control/tests/test_removed_replicas.py
@@ -94,10 +94,12 @@
 
     async def run(cluster: voter_cluster.Cluster) -> None:
         await add_successors(cluster, HOSTS[4:6])
+        await cluster.evacuate("south")
         await cluster.remove(first, with_notice)
         await anyio.sleep(gap_s)
         await cluster.remove(second, with_notice)
         assert await cluster.change(CHANGE_WITHIN_S)
+        assert await cluster.evacuated() == ("south",)
         # The loss that is tolerated beside is borne afterwards.
         await anyio.sleep(SETTLE_S)
         for host in sorted(cluster.voters()):
@@ -105,6 +107,7 @@
                 cluster.kill(host)
                 break
         assert await cluster.change(CHANGE_WITHIN_S)
+        assert await cluster.evacuated() == ("south",)
 
     run_in_cluster(4, 3, run)
 
--- a/bluebelltide/control/tests/voter_cluster.py
+++ b/bluebelltide/control/tests/voter_cluster.py
@@ -12,6 +12,7 @@
 import pytest
 
 from bluebelltide import _metrics
+from bluebelltide.catalogue import _evacuations
 from bluebelltide.catalogue import _register
 from bluebelltide.control import _deployment_replica
 from bluebelltide.control import _direct_service
@@ -185,6 +186,19 @@
                 return True
         return False
 
+    async def evacuate(self, data_centre: str) -> None:
+        """Declares the evacuation of a data centre; it is acknowledged."""
+        order = _evacuations.Order(data_centre, True)
+        replica = next(iter(self._members.values())).replica
+        assert (await replica.order_evacuation(order)).is_certain
+
+    async def evacuated(self) -> tuple[str, ...]:
+        """Reads through a quorum which data centres are evacuated."""
+        replica = next(iter(self._members.values())).replica
+        outcome = await replica.confirm(replica_network.EVACUATIONS_KEY)
+        assert outcome.is_certain
+        return _evacuations.read_evacuations(outcome.state).data_centres
+
     async def run_polls(self) -> None:
         """Exchanges what the polls bring until it is cancelled."""
         while True:
--- a/bluebelltide/membership/_replica_poller.py
+++ b/bluebelltide/membership/_replica_poller.py
@@ -14,7 +14,9 @@
 
 REPLICA_RETENTION_MS = 20_000
 """How long a replica that is not a seed is polled after it was last listed in
-an update or sent one."""
+an update or sent one. It counts only while other replicas are heard."""
+MAXIMUM_GAP_MS = 2000
+"""Time without any update after which this process counts as cut off."""
 POLL_ROUND_MS = 2000
 """Time in which an entry instance polls each replica once."""
 POLL_INTERVALS_MS = (200, 400)
@@ -66,6 +68,10 @@
         self._contacts: dict[str, _Contact] = {}
         self._cursors: dict[str, _Cursor] = {}
         self._poll_count = 0
+        # When the latest update arrived, and since when updates have arrived
+        # without a gap.
+        self._heard_ms = 0
+        self._listening_since_ms = 0
         # All replicas hold the same changes, so a process that lacks many
         # takes them from one replica.
         self._source_host = ""
@@ -87,17 +93,32 @@
             )
 
     def hosts(self, now_ms: int) -> list[str]:
-        """Removes replicas that are silent and returns the machines to poll."""
+        """Removes replicas that have gone and returns the machines to poll.
+
+        A process that was cut off or paused heard of nobody, so no replica is
+        removed for its silence until the others have been heard again. The
+        seeds alone may all be gone by then.
+        """
+        self._check_gap(now_ms)
         for host, contact in list(self._contacts.items()):
-            latest_ms = max(contact.last_listed_ms, contact.last_received_ms)
+            silent_since_ms = max(
+                contact.last_listed_ms,
+                contact.last_received_ms,
+                self._listening_since_ms,
+            )
             if (
                 host not in self._seeds
-                and now_ms - latest_ms > REPLICA_RETENTION_MS
+                and self._heard_ms - silent_since_ms > REPLICA_RETENTION_MS
             ):
                 del self._contacts[host]
                 self._cursors.pop(host, None)
         return sorted(self._contacts)
 
+    def _check_gap(self, now_ms: int) -> None:
+        """Counts silence anew if no update has arrived for a while."""
+        if now_ms - self._heard_ms > MAXIMUM_GAP_MS:
+            self._listening_since_ms = now_ms
+
     @property
     def interval_ms(self) -> int:
         """The time between two polls of one replica each.
@@ -158,6 +179,8 @@
         Returns:
             Whether to poll the same replica again at once.
         """
+        self._check_gap(now_ms)
+        self._heard_ms = now_ms
         host = update.replica.host
         for replica in update.replicas:
             self._note_listed(replica.host, now_ms)
