--- a/bluebelltide/_types.py
+++ b/bluebelltide/_types.py
@@ -143,7 +143,8 @@
     data_centre: DataCentre
     """The data centre that the target is in."""
     generation: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INT64)]
-    """Increases each time the target's process starts."""
+    """Increases each time the target's process starts; see `_start_order` for
+    targets that tell the time of their start."""
     sequence: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INT64)]
     """Increases with each announcement of one generation."""
     state: TargetState
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -33,6 +33,7 @@
 from bluebelltide.control import _voters
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _replica_poller
+from bluebelltide.membership import _start_order
 from bluebelltide.membership import _target_records
 from bluebelltide.messaging import _calls
 from bluebelltide.messaging import _datagrams
@@ -46,6 +47,9 @@
 COMPLETE_VIEW_LEASE_SHARE = 0.125
 """Fraction of a target's lease within which every live target announces
 itself."""
+LATER_START_LEASE_SHARE = 0.125
+"""Fraction of a target's lease for which a start that tells an earlier time
+must announce itself, while the known start is silent."""
 SAVE_INTERVAL_MS = 700
 """Time between two checks whether the files for the next start are out of
 date."""
@@ -116,6 +120,9 @@
         _guard.count_errors_in(metrics)
         self._started_ms = _clock.now_ms()
         self._run_id = random.getrandbits(31) | 1
+        self._start_order = _start_order.StartOrder(
+            int(LATER_START_LEASE_SHARE * settings.target_lease_ms)
+        )
         self._renewals = _renewals.Renewals(self.directory)
         self._order_gate = _order_gate.OrderGate(_clock.boot_ms())
         self._keys_being_fetched: set[str] = set()
@@ -214,10 +221,24 @@
         if self._replica_poller is not None:
             self._replica_poller.set_seed_hosts(hosts, _clock.now_ms())
 
-    def record_announcement(self, target: _types.Target) -> None:
-        """Records a target's announcement; a change is published at once."""
-        record = _directory.TargetRecord(target)
+    def record_announcement(self, target: _types.Target) -> bool:
+        """Records a target's announcement; a change is published at once.
+
+        Args:
+            target: The target; its generation is the time of its start.
+
+        Returns:
+            Whether the announcement is in use. It is not if a later start of
+            the target is known, as far as that can be told.
+        """
         now_ms = _clock.now_ms()
+        known = self.directory.get(target.target_id)
+        if known is not None and known.target.generation != target.generation:
+            generation = self._find_generation(target, known, now_ms)
+            if generation is None:
+                return False
+            target = target._replace(generation=generation)
+        record = _directory.TargetRecord(target)
         self._renewals.record(target, now_ms)
         if self.directory.merge(record, now_ms):
             self._metrics.count("target", target.state)
@@ -233,6 +254,33 @@
             )
             is_draining = target.state == _types.TargetState.DRAINING
             self._push_update((target.target_id,) if is_draining else ())
+        return True
+
+    def _find_generation(
+        self,
+        target: _types.Target,
+        known: _directory.TargetRecord,
+        now_ms: int,
+    ) -> int | None:
+        """Returns the generation of an announced start, None if it is old."""
+        generation = self._start_order.find_generation(
+            target,
+            _start_order.KnownStart(
+                known.target.generation,
+                self.directory.heard_ms(target.target_id),
+            ),
+            now_ms,
+        )
+        if generation is None:
+            self._metrics.count("target", "earlier_start")
+            events.write(
+                "target_of_earlier_start",
+                target=target.target_id,
+                generation=target.generation,
+                known_generation=known.target.generation,
+                sequence=target.sequence,
+            )
+        return generation
 
     def deregister_target(self, target_id: _types.TargetId) -> None:
         """Records that a target leaves."""
--- a/bluebelltide/entry/_target_index.py
+++ b/bluebelltide/entry/_target_index.py
@@ -12,6 +12,7 @@
 
 from bluebelltide import _types
 from bluebelltide.membership import _directory
+from bluebelltide.membership import _start_order
 from bluebelltide.placement import _affinity
 from bluebelltide.placement import _changing_targets
 
@@ -188,7 +189,8 @@
 
 
 def _ownership(indexed: _IndexedRecord) -> tuple[int, int]:
-    return indexed.record.target.generation, -indexed.order
+    generation = indexed.record.target.generation
+    return _start_order.started_ms(generation), -indexed.order
 
 
 def _add(
--- a/bluebelltide/membership/_directory.py
+++ b/bluebelltide/membership/_directory.py
@@ -151,6 +151,11 @@
         """Returns the newest sequence heard of a target's incarnation."""
         return self._heard_sequences.get(target_id, 0)
 
+    def heard_ms(self, target_id: _types.TargetId) -> int:
+        """Returns when a known target was last heard of."""
+        known = self._records[target_id]
+        return self._heard_times(known.has_left)[target_id]
+
     def merge(self, record: TargetRecord, now_ms: int) -> bool:
         """Stores a record if it is newer than the known one.
 
