--- a/bluebelltide/control/_voter_replacement.py
+++ b/bluebelltide/control/_voter_replacement.py
@@ -277,7 +277,10 @@
     voters: list[str],
     alive: Mapping[str, _datagrams.Replica],
 ) -> str:
-    """Returns the voter to remove: a silent one, or of the fullest centre."""
+    """Returns the voter to remove while there are too many.
+
+    It is a silent one, or else one of the data centre with the most voters.
+    """
     voter_data_centres = _data_centres(cluster_view, voters)
     return max(
         voters,
