--- a/review/lib-3/bench3.py
+++ b/review/lib-3/bench3.py
@@ -20,6 +20,7 @@
 import threading
 import time
 import tomllib
+import traceback
 import zlib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -276,11 +277,15 @@
 
     def _find_free_block(self):
         for block in random.sample(range(20, 250), 50):
+            lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             try:
+                # Keeps the block for this case until it ends.
+                lock.bind((f"127.{block}.9.9", API_PORT))
                 with socket.create_server((f"127.{block}.1.1", API_PORT)):
+                    self._lock = lock
                     return block
             except OSError:
-                continue
+                lock.close()
         raise CannotRun("no free block of loopback addresses")
 
     @property
@@ -497,14 +502,18 @@
                     f"client {packet.source}"
                 )
                 continue
-            self._handle(packet)
+            try:
+                self._handle(packet)
+            except OSError:
+                return
 
     def _reply(self, packet, flags, seq, ack, data=b""):
         reply = make_packet(
             flags, packet.echo, seq, ack, packet.destination, packet.source,
             data,
         )  # fmt: skip
-        self._socket.sendto(reply, (packet.source[0], PACKET_PORT))
+        if self.is_alive:
+            self._socket.sendto(reply, (packet.source[0], PACKET_PORT))
 
     def _handle(self, packet):
         key = (packet.source, packet.destination)
@@ -760,6 +769,9 @@
         if bed is not None:
             bed.record.write(f"the case could not run: {error}")
         code = 2
+    except Exception:
+        traceback.print_exc()
+        code = 2
     finally:
         if bed is not None:
             bed.close()
