--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,8 +1,8 @@
-"""A late heartbeat of a host's earlier life undoes its drain."""
+"""Programs don't start once the settings have an unexplained, empty field."""
 
 import pathlib
+import signal
 import sys
-import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -11,11 +11,12 @@
 
 import bench3
 
-CLOCK_STEP_MS = 2400
-"""How far the host's clock is ahead while its first life starts."""
-HOST_ID = "i-7f3a91c2"
-AFTER_DRAIN_S = 3.1
-"""When the partition heals, after the drain was acknowledged."""
+NEW_FIELD = 'streamAddr = ""'
+"""A field that the pages don't explain, empty, beside the known addresses."""
+RESTART_DELAY_S = 1.2
+"""How long the platform waits before it restarts a process that has ended."""
+WATCH_S = 20.0
+"""How long the platform watches the machines after they were restarted."""
 
 
 def play(bed):
@@ -27,7 +28,7 @@
         ),
     )
     bed.put_configuration(bed.configuration(7, [(443, "reminder")]))
-    for number in range(2):
+    for number in range(3):
         bench3.HostAgent(
             bed,
             f"i-00a1b2c{number}",
@@ -39,79 +40,67 @@
         "all frontends are ready",
         lambda: all(one.is_ready() for one in bed.entries),
     )
-    time.sleep(bench3.BOUNDS["contactMs"] / 1000 + 0.5)
     client = bench3.Client(bed)
     if client.request(bed.entries[0], 443, "warm-up") != "200":
         raise bench3.CannotRun("the calm deployment does not serve")
 
-    # The first life. In trouble its clock is ahead, as it will be set back.
-    address = (f"127.{bed.block}.4.9", bench3.HOST_PORT)
-    step_ms = CLOCK_STEP_MS if bed.is_troubled else 0
-    first = bench3.HostAgent(
-        bed, HOST_ID, "reminder", address, bed.zones[0],
-        born_ms=int(time.time() * 1000) + step_ms,
-    )  # fmt: skip
-    answer = bench3.call(
-        bed.controls[1].host, "PUT", f"/instances/{HOST_ID}", first.next_body()
-    )
-    bed.record.write(f"life 1 born {first.born_ms} seq 1 to core-2: {answer}")
-    time.sleep(0.3)
-    link = bench3.HeldLink(bed, bed.controls[0])
-    late_body = first.next_body()
-    bed.record.write("life 1 sends heartbeat seq 2 to core-1, ready")
-    sent_s = bed.record.now_s()
-    threading.Thread(
-        target=bench3.call,
-        args=(link.host, "PUT", f"/instances/{HOST_ID}", late_body, 0.5),
-        daemon=True,
-    ).start()
-    if not bed.is_troubled:
-        time.sleep(0.6)
-        bed.record.write(f"arrives at core-1 at once: {link.heal()}")
-    time.sleep(0.6)
-    first.close()
-    bed.record.write("life 1 crashes")
-    time.sleep(0.6)
+    field = NEW_FIELD if bed.is_troubled else ""
+    rolled = [bed.entries[0], bed.entries[1], bed.controls[0]]
+    bed.record.write(f"the settings change on three: {field or 'none'}")
+    for program in rolled:
+        program.write_settings(False, field)
+        program.signal(signal.SIGHUP)
+    time.sleep(2.0)
 
-    # The second life, under the same id, with the right time.
-    second = bench3.HostAgent(bed, HOST_ID, "reminder", address, bed.zones[0])
-    bed.record.write(f"life 2 starts, born {second.born_ms}")
-    second.heartbeat_forever()
-    bed.wait_until("life 2 is registered", lambda: second.acknowledged_s)
-    second.drain()
-    bed.wait_until(
-        "the drain of life 2 is acknowledged",
-        lambda: "draining" in second.acknowledged_s,
-    )
-    drained_s = second.acknowledged_s["draining"]
-    number = 0
-    is_late_sent = not bed.is_troubled
-    while bed.record.now_s() < drained_s + 7.0:
-        if not is_late_sent and (
-            bed.record.now_s() >= drained_s + AFTER_DRAIN_S
-        ):
-            is_late_sent = True
-            bed.record.write(
-                f"the link heals after {bed.record.now_s() - sent_s:.1f} s; "
-                f"heartbeat seq 2 of life 1 arrives at core-1: {link.heal()}"
-            )
-        number += 1
-        entry = bed.entries[number % len(bed.entries)]
-        client.request(entry, 443, f"request-{number}")
+    # Planned work: two frontends and a core machine are stopped and started.
+    for program in rolled:
+        program.signal(signal.SIGTERM)
+        bed.record.write(f"{program.name} gets SIGTERM")
+        try:
+            program.process.wait(bench3.BOUNDS["graceS"])
+        except bench3.subprocess.TimeoutExpired:
+            program.process.kill()
+            program.process.wait()
+        bed.record.write(f"{program.name} has stopped")
+        program.start()
+        program.started_s = bed.record.now_s()
+        program.ended_s = None
+
+    # No disruption from here on: who ends now ends by itself.
+    quiet_s = bed.record.now_s() + 1.0
+    until_s = bed.record.now_s() + WATCH_S
+    while bed.record.now_s() < until_s:
+        for program in rolled:
+            now_s = bed.record.now_s()
+            if program.is_running:
+                continue
+            if program.ended_s is None:
+                program.ended_s = now_s
+                if now_s >= quiet_s:
+                    program.own_ends += 1
+                bed.record.write(
+                    f"{program.name} has ended by itself with status "
+                    f"{program.process.returncode}: {program.last_log_line()}"
+                )
+            elif now_s >= program.ended_s + RESTART_DELAY_S:
+                program.start()
+                program.ended_s = None
         time.sleep(0.05)
-    limit_s = drained_s + bench3.DRAIN_TIMEOUT_S
-    late = [run for run in second.runs if run[0] > limit_s]
-    for at_s, request_id, _ in late:
-        bed.record.write(
-            f"{request_id} reached {HOST_ID} {at_s - drained_s:.2f} s after "
-            "its drain was acknowledged"
-        )
-    if late:
+    for program in rolled:
+        bed.record.write(f"{program.name}: {program.own_ends} ends of its own")
+    for entry in rolled[:2]:
+        bed.record.write(f"{entry.name} is ready: {entry.is_ready()}")
+        client.request(entry, 443, f"after-{entry.name}")
+    answer = bench3.call(rolled[2].host, "GET", "/config")
+    bed.record.write(f"{rolled[2].name} GET /config: {answer and answer[0]}")
+    broken = [one for one in rolled if one.own_ends >= 3]
+    if len(broken) >= 2:
+        names = ", ".join(one.name for one in broken)
         return (
-            f"DRAIN broken: {len(late)} requests reached the draining host "
-            f"later than {bench3.DRAIN_TIMEOUT_S} s after the acknowledgement"
+            "Fault: processes ended by themselves three times or more, and "
+            f"don't start any more: {names}"
         )
     return None
 
 
-bench3.run(HERE, play)
+bench3.run(HERE, play, entry_count=4)
