--- a/review/lib-3/bench3.py
+++ b/review/lib-3/bench3.py
@@ -197,7 +197,7 @@
     def start(self):
         environment = {
             "PATH": os.environ.get("PATH", ""),
-            "HOME": os.environ.get("HOME", "/tmp"),
+            "HOME": os.environ.get("HOME", "/"),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
             "BLUEBELLTIDE_SETTINGS": str(self.settings),
