--- a/bluebelltide/_log_lines.py
+++ b/bluebelltide/_log_lines.py
@@ -35,6 +35,12 @@
         value = self.fields.get(name)
         return int(value) if isinstance(value, int | float) else 0
 
+    def has_number(self, name: str, number: int) -> bool:
+        """Returns whether a field holds a number; a missing field does not."""
+        return self.fields.get(name) is not None and (
+            self.number(name) == number
+        )
+
 
 def parse_line(text: str, process: str) -> LogLine | None:
     """Parses a line of a log.
--- a/bluebelltide/catalogue/_deployment.py
+++ b/bluebelltide/catalogue/_deployment.py
@@ -180,6 +180,19 @@
     return route.shares[bisect.bisect_right(cumulative_weights, point)].service
 
 
+def is_superseding(version: int, state: _register.RegisterState) -> bool:
+    """Returns whether a document takes the place of what a register holds.
+
+    Operators choose the versions, from 0 on. If nothing is stored, a document
+    of any version takes effect.
+
+    Args:
+        version: The version of the document.
+        state: The register's state.
+    """
+    return _register.is_newer(version, state.version)
+
+
 def apply_deployment(
     state: _register.RegisterState, version: int, value: bytes
 ) -> tuple[_register.RegisterState, _register.ChangeResult]:
@@ -193,7 +206,7 @@
     Returns:
         The next state, equal to `state` if nothing changes, and the result.
     """
-    if version > state.version:
+    if is_superseding(version, state):
         state = _register.RegisterState(version, value)
     return state, _register.ChangeResult(None, state, state.version)
 
--- a/bluebelltide/catalogue/_evacuations.py
+++ b/bluebelltide/catalogue/_evacuations.py
@@ -57,7 +57,7 @@
     """
     names = [] if state.value is None else _decode_names(state.value)
     try:
-        return msgspec.convert([state.version, names], EvacuationSet)
+        return msgspec.convert([state.encoded_version, names], EvacuationSet)
     except msgspec.ValidationError as error:
         raise _corrupt(error) from error
 
@@ -94,5 +94,5 @@
     if (order.data_centre in names) != order.is_evacuated:
         names ^= {order.data_centre}
         value = msgspec.json.encode(sorted(names))
-        state = _register.RegisterState(state.version + 1, value)
+        state = _register.RegisterState(state.base_version + 1, value)
     return state, _register.ChangeResult(None, state, state.version)
--- a/bluebelltide/catalogue/_register.py
+++ b/bluebelltide/catalogue/_register.py
@@ -14,7 +14,7 @@
 proposals turn events into actions.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from bluebelltide import _exceptions
@@ -23,6 +23,11 @@
 """How many changes a register records, to recognise one that is resent."""
 
 
+NOTHING_STORED = -1
+"""What a message that carries no value has in place of a version if nothing is
+stored. Programs that know no such number take it for an old version."""
+
+
 class Ballot(NamedTuple):
     """A proposal number, ordered by round, then by proposer."""
 
@@ -48,15 +53,81 @@
 
 
 class RegisterState(NamedTuple):
-    """The state of a register."""
+    """The state of a register.
+
+    Without arguments it is the state before the first change, in which nothing
+    is stored. That state has no version, so that it cannot be taken for a
+    version 0 that somebody has chosen. Compare states by `is_newer_than` and
+    `find_newest`.
+    """
 
-    version: int = 0
-    """Grows with each change; 0 before the first."""
+    encoded_version: int = 0
+    """The version as files and messages hold it, 0 also if nothing is stored.
+    Use `version`, which tells the two apart."""
     value: bytes | None = None
     """The encoded entry, or None if it was removed or never created."""
     history: tuple[AppliedChange, ...] = ()
     """The latest changes, oldest first."""
 
+    @property
+    def version(self) -> int | None:
+        """Grows with each change; None if nothing is stored.
+
+        A register that chooses its versions itself starts with 1, so what it
+        removes has a version above 0.
+        """
+        if self.encoded_version == 0 and self.value is None:
+            return None
+        return self.encoded_version
+
+    @property
+    def base_version(self) -> int:
+        """What a change of this state names as its base; 0 without an entry.
+
+        For registers that choose their versions themselves, from 1 on.
+        """
+        return self.encoded_version
+
+    def is_newer_than(self, version: int | None) -> bool:
+        """Returns whether this state is newer than a version.
+
+        Args:
+            version: The version, or None for a register with nothing stored.
+        """
+        return is_newer(self.version, version)
+
+
+def is_newer(version: int | None, known_version: int | None) -> bool:
+    """Returns whether a version is newer than a known one.
+
+    Args:
+        version: The version, or None if nothing is stored.
+        known_version: The known version, or None if nothing is stored there.
+            Any version is newer than that.
+    """
+    if version is None:
+        return False
+    return known_version is None or version > known_version
+
+
+def encode_version(version: int | None) -> int:
+    """Encodes a version for a message; -1 if nothing is stored."""
+    return NOTHING_STORED if version is None else version
+
+
+def decode_version(encoded_version: int) -> int | None:
+    """Decodes a version of a message, None if nothing is stored there."""
+    return None if encoded_version < 0 else encoded_version
+
+
+def find_newest(states: Iterable[RegisterState]) -> RegisterState:
+    """Returns the newest state, the first one of several with its version."""
+    newest = RegisterState()
+    for state in states:
+        if state.is_newer_than(newest.version):
+            newest = state
+    return newest
+
 
 class Change(NamedTuple):
     """A compare-and-set request."""
@@ -66,7 +137,8 @@
     key: str
     """The register's key."""
     base_version: int
-    """The version of the entry that the change is based on."""
+    """The version of the entry that the change is based on; 0 if there was
+    none."""
     value: bytes | None
     """The new encoded entry, or None to remove it."""
 
@@ -238,9 +310,9 @@
     """None if it succeeded, else why it failed."""
     state: RegisterState
     """The committed state; empty if no quorum answered."""
-    version: int
+    version: int | None
     """The version that the change produced. After a conflict or a read, the
-    committed version; 0 if no quorum answered."""
+    committed version; None if nothing is stored or no quorum answered."""
 
 
 def apply_change(
@@ -258,10 +330,10 @@
     for applied in state.history:
         if applied.change_id == change.change_id:
             return state, ChangeResult(None, state, applied.version)
-    if change.base_version != state.version:
+    if change.base_version != state.base_version:
         code = _exceptions.ErrorCode.CONFLICT
         return state, ChangeResult(code, state, state.version)
-    version = state.version + 1
+    version = state.base_version + 1
     applied = AppliedChange(change.change_id, version)
     history = (*state.history, applied)[-HISTORY_LENGTH:]
     new_state = RegisterState(version, change.value, history)
@@ -337,7 +409,7 @@
         self._promises: dict[str, Promise] = {}
         self._accepted_by: set[str] = set()
         self._proposed_state: RegisterState | None = None
-        self._result = ChangeResult(None, RegisterState(), 0)
+        self._result = ChangeResult(None, RegisterState(), None)
         self._was_change_sent = False
         self._is_finished = False
 
@@ -392,7 +464,7 @@
         code = _exceptions.ErrorCode.NO_QUORUM
         if self._was_change_sent:
             code = _exceptions.ErrorCode.OUTCOME_UNKNOWN
-        return [Done(ChangeResult(code, RegisterState(), 0))]
+        return [Done(ChangeResult(code, RegisterState(), None))]
 
     def _on_promise(self, replica: str, reply: Promise) -> list[Action]:
         self._promises[replica] = reply
--- a/bluebelltide/catalogue/_saved_state.py
+++ b/bluebelltide/catalogue/_saved_state.py
@@ -45,7 +45,7 @@
         key: The register's key, one of SAVED_KEYS.
 
     Returns:
-        The state; version 0 if there is no file.
+        The state, in which nothing is stored if there is no file.
 
     Raises:
         BluebelltideError: With BAD_FRAME if the file is damaged.
--- a/bluebelltide/catalogue/tests/test_deployment.py
+++ b/bluebelltide/catalogue/tests/test_deployment.py
@@ -48,13 +48,13 @@
 
 
 def test_the_highest_version_wins_in_any_order_of_arrival() -> None:
-    for order in itertools.permutations([1, 4, 9]):
+    for order in itertools.permutations([0, 1, 4, 9]):
         state = _register.RegisterState()
         for version in order:
             value = str(version).encode()
             state, result = _deployment.apply_deployment(state, version, value)
             assert result.code is None
-            assert result.version >= version
+            assert not _register.is_newer(version, result.version)
         assert state.version == 9
         assert state.value == b"9"
 
--- a/bluebelltide/catalogue/tests/test_register.py
+++ b/bluebelltide/catalogue/tests/test_register.py
@@ -99,7 +99,7 @@
 
 
 def check_chain(states: list[_register.RegisterState]) -> None:
-    ordered = sorted(states, key=lambda state: state.version)
+    ordered = sorted(states, key=lambda state: state.base_version)
     for first, second in zip(ordered, ordered[1:], strict=False):
         if first.version == second.version:
             assert first == second
@@ -118,7 +118,7 @@
         cluster.run(400, loss_percent=10)
     cluster.give_up()
     check_chain(cluster.committed)
-    newest = max(cluster.committed, key=lambda s: s.version, default=None)
+    newest = max(cluster.committed, key=lambda s: s.base_version, default=None)
     applied = {a.change_id for a in newest.history} if newest else set()
     for name, result in cluster.results.items():
         if result.code is None:
--- a/bluebelltide/catalogue/tests/test_store_full_disk.py
+++ b/bluebelltide/catalogue/tests/test_store_full_disk.py
@@ -117,4 +117,4 @@
     shutil.copytree(folder, copy)
     recovered = _store.Store(copy).start().acceptor_states.get("document")
     shutil.rmtree(copy)
-    return 0 if recovered is None else recovered.state.version
+    return 0 if recovered is None else recovered.state.base_version
--- a/bluebelltide/control/_catalogue_replica.py
+++ b/bluebelltide/control/_catalogue_replica.py
@@ -165,7 +165,7 @@
         finally:
             del self._pending_proposals[proposer]
         assert pending.result is not None
-        if pending.result.state.version:
+        if pending.result.state.version is not None:
             await self._commit(key, pending.result.state)
         return pending.result
 
@@ -239,8 +239,7 @@
 
     async def _commit(self, key: str, state: _register.RegisterState) -> None:
         if self.learn(key, state):
-            entry = _view.VersionedEntry(key, state.version, state.value)
-            await self._push((entry,), to_replicas=True)
+            await self._push((_to_entry(key, state),), to_replicas=True)
 
     def learn(self, key: str, state: _register.RegisterState) -> bool:
         """Adopts a committed state if it is newer than the known one.
@@ -252,14 +251,12 @@
         Returns:
             Whether the state is newer.
         """
-        known = self._committed_states.get(key)
-        if known is not None and known.version >= state.version:
+        known = self._committed_states.get(key, _register.RegisterState())
+        if not state.is_newer_than(known.version):
             return False
         self._committed_states[key] = state
         if key != _voters.VOTERS_KEY:
-            self.view.merge(
-                _view.VersionedEntry(key, state.version, state.value)
-            )
+            self.view.merge(_to_entry(key, state))
         return True
 
     async def learn_from_peer(
@@ -299,7 +296,7 @@
             include_internal: Whether to send the voter set, too.
         """
         entries = [
-            _view.VersionedEntry(key, state.version, state.value)
+            _to_entry(key, state)
             for key, state in self._committed_states.items()
             if include_internal or key != _voters.VOTERS_KEY
         ]
@@ -382,7 +379,7 @@
                     key, _register.RegisterState()
                 )
                 if (
-                    acceptor_state.state.version > known.version
+                    acceptor_state.state.is_newer_than(known.version)
                     and self.is_voter
                 ):
                     with _guard.log_errors("repairing", key):
@@ -437,7 +434,7 @@
         change = _register.Change(
             uuid.uuid4().hex,
             _voters.VOTERS_KEY,
-            current.version,
+            current.base_version,
             msgspec.json.encode(lists),
         )
         result = await self.change(change)
@@ -475,3 +472,8 @@
 async def _wait_until(condition: Callable[[], bool]) -> None:
     while not condition():
         await anyio.sleep(0.02)
+
+
+def _to_entry(key: str, state: _register.RegisterState) -> _view.VersionedEntry:
+    """Returns what messages and views hold of a register's state."""
+    return _view.VersionedEntry(key, state.encoded_version, state.value)
--- a/bluebelltide/control/_deployment_replica.py
+++ b/bluebelltide/control/_deployment_replica.py
@@ -225,14 +225,14 @@
         instance without any state serves its callers with this one until it
         learns a newer one; instances never go back to an older version.
         """
+        # The first one of several with the same version is chosen, so the
+        # committed one is preferred.
         states = [self.committed_state(key)]
         if key in self._acceptor_states:
             states.append(self._acceptor_states[key].state)
         if key in self._saved_states:
             states.append(self._saved_states[key])
-        # max returns the first of several states with the same version, so
-        # the committed one is preferred.
-        return max(states, key=lambda state: state.version)
+        return _register.find_newest(states)
 
     @property
     def evacuations(self) -> _evacuations.EvacuationSet:
@@ -245,7 +245,7 @@
         """A newer set that this replica holds, which may be uncommitted."""
         key = _evacuations.EVACUATIONS_KEY
         newest = self.newest_state(key)
-        if newest.version <= self.committed_state(key).version:
+        if not newest.is_newer_than(self.committed_state(key).version):
             return None
         try:
             return _evacuations.read_evacuations(newest)
@@ -262,8 +262,8 @@
                 key, _register.AcceptorState()
             )
             saved = self._saved_states.get(key, _register.RegisterState())
-            durable_version = max(acceptor_state.state.version, saved.version)
-            if state.version > durable_version:
+            durable = _register.find_newest((acceptor_state.state, saved))
+            if state.is_newer_than(durable.version):
                 unsaved[key] = state
         return unsaved
 
@@ -296,7 +296,7 @@
         """
         if key == _evacuations.EVACUATIONS_KEY:
             _evacuations.read_evacuations(state)
-        if state.version <= self.committed_state(key).version:
+        if not state.is_newer_than(self.committed_state(key).version):
             return False
         self._committed_states[key] = state
         events.write("state_committed", key=key, version=state.version)
@@ -308,7 +308,7 @@
         return [
             key
             for key, acceptor_state in self._acceptor_states.items()
-            if acceptor_state.state.version
+            if acceptor_state.state.version is not None
         ]
 
     def unconfirmed_keys(self) -> list[str]:
@@ -316,7 +316,9 @@
         return [
             key
             for key, acceptor_state in self._acceptor_states.items()
-            if acceptor_state.state.version > self.committed_state(key).version
+            if acceptor_state.state.is_newer_than(
+                self.committed_state(key).version
+            )
         ]
 
     async def handle_call(
@@ -358,7 +360,7 @@
             )
             return _calls.QueryAnswer(
                 acceptor_state.accepted_ballot,
-                acceptor_state.state.version,
+                _register.encode_version(acceptor_state.state.version),
                 voters.version,
             )
         return await self._handle_acceptor_request(request)
@@ -398,6 +400,10 @@
     async def put(self, version: int, value: bytes) -> Outcome:
         """Proposes a document; it takes effect unless a newer one exists.
 
+        A document that a committed state supersedes is certain without a
+        proposal: a quorum holds that state or a newer one, and each later read
+        meets one of them. New voters copy it before they decide alone.
+
         Args:
             version: The version of the document.
             value: The compressed document.
@@ -410,7 +416,7 @@
         with anyio.move_on_after(PROPOSAL_TIMEOUT_MS / 1000):
             async with self._proposal_lock:
                 known = self.committed_state(key)
-                if known.version >= version:
+                if not _deployment.is_superseding(version, known):
                     return Outcome(True, known)
                 return await self._propose(
                     key,
@@ -556,7 +562,7 @@
             "proposal_ended",
             key=key,
             outcome="committed" if result else "no_quorum",
-            version=result.version if result else 0,
+            version=result.version if result else None,
             voters_version=voters.version,
             spent_ms=spent_ms,
         )
@@ -627,7 +633,7 @@
         change = _register.Change(
             uuid.uuid4().hex,
             _voters.VOTERS_KEY,
-            current.version,
+            current.base_version,
             _voters.encode_voters(lists),
         )
         return await self._propose(
--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -394,7 +394,7 @@
         share = COMPLETE_VIEW_LEASE_SHARE
         return age_ms > share * self._settings.target_lease_ms
 
-    def _deployment_version(self) -> int:
+    def _deployment_version(self) -> int | None:
         return self.deployment_replica.committed_state(
             _deployment.DEPLOYMENT_KEY
         ).version
@@ -472,7 +472,8 @@
         voters_version = 0 if voters is None else voters.version
         if update.voters_version > voters_version:
             self._start_fetch(update.replica, _voters.VOTERS_KEY)
-        if update.deployment_version > self._deployment_version():
+        known_version = self._deployment_version()
+        if _register.is_newer(update.deployment_version, known_version):
             self._start_fetch(update.replica, _deployment.DEPLOYMENT_KEY)
         evacuations = self.deployment_replica.evacuations
         if update.evacuations.version > evacuations.version:
--- a/bluebelltide/control/_read_tally.py
+++ b/bluebelltide/control/_read_tally.py
@@ -36,13 +36,15 @@
             finding is BALLOT_IS_COMMITTED.
     """
 
-    def __init__(self, voters: _register.Voters, known_version: int) -> None:
+    def __init__(
+        self, voters: _register.Voters, known_version: int | None
+    ) -> None:
         """Creates a tally without answers.
 
         Args:
             voters: The voter set that is asked.
             known_version: The version of the newest state that the reader
-                knows is committed.
+                knows is committed, None if it knows none.
         """
         self.committed_ballot = _register.ZERO_BALLOT
         self._voters = voters
@@ -65,11 +67,11 @@
             # Another voter set decides by now.
             return Finding.UNDECIDED
         self._missing.discard(identity)
-        if answer.version <= self._known_version:
-            self._not_newer.add(identity)
-        else:
+        if _register.is_newer(answer.version, self._known_version):
             ballot = answer.accepted_ballot
             self._voters_by_newer_ballot.setdefault(ballot, set()).add(identity)
+        else:
+            self._not_newer.add(identity)
         return self._find()
 
     def _find(self) -> Finding:
--- a/bluebelltide/control/_update_publisher.py
+++ b/bluebelltide/control/_update_publisher.py
@@ -14,6 +14,7 @@
 
 from bluebelltide import _types
 from bluebelltide.catalogue import _evacuations
+from bluebelltide.catalogue import _register
 from bluebelltide.control import _voter_replacement
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _peer_ring
@@ -37,16 +38,16 @@
 class ReplicaStatus(NamedTuple):
     """What an update reports of a replica besides the targets."""
 
-    deployment_version: int
-    """The newest committed version of the deployment."""
+    deployment_version: int | None
+    """The newest committed version of the deployment; None if none is known."""
     voters_version: int
     """The version of the committed voter set; 0 if none is known."""
     has_complete_view: bool
     """Whether the replica has had time to receive an announcement of every
     live target."""
-    unconfirmed_version: int = 0
+    unconfirmed_version: int | None = None
     """The newest version of the deployment that entry instances may fetch; it
-    may be uncommitted."""
+    may be uncommitted. None if there is none."""
     evacuations: _evacuations.EvacuationSet = _evacuations.NO_EVACUATIONS
     """The newest committed set of evacuated data centres."""
     unconfirmed_evacuations: _evacuations.EvacuationSet | None = None
@@ -208,11 +209,11 @@
             batch[-1].change_index if has_more else basis.last_index,
             has_more,
             basis.status.has_complete_view,
-            basis.status.deployment_version,
+            _register.encode_version(basis.status.deployment_version),
             basis.status.voters_version,
             basis.replicas,
             tuple(change.record for change in batch),
-            basis.status.unconfirmed_version,
+            _register.encode_version(basis.status.unconfirmed_version),
             evacuations=basis.status.evacuations,
             unconfirmed_evacuations=basis.status.unconfirmed_evacuations,
         )
@@ -391,11 +392,11 @@
             0,
             False,
             False,
-            status.deployment_version,
+            _register.encode_version(status.deployment_version),
             status.voters_version,
             self._live_replicas(now_ms),
             records,
-            status.unconfirmed_version,
+            _register.encode_version(status.unconfirmed_version),
             is_partial=True,
             evacuations=status.evacuations,
             unconfirmed_evacuations=status.unconfirmed_evacuations,
--- a/bluebelltide/control/_voters.py
+++ b/bluebelltide/control/_voters.py
@@ -29,4 +29,6 @@
     if state.value is None:
         return None
     lists = msgspec.json.decode(state.value, type=VoterLists)
-    return _register.Voters(state.version, lists.voters, lists.next_voters)
+    return _register.Voters(
+        state.encoded_version, lists.voters, lists.next_voters
+    )
--- a/bluebelltide/control/tests/test_concurrent_reads.py
+++ b/bluebelltide/control/tests/test_concurrent_reads.py
@@ -160,7 +160,7 @@
                     replica = generator.choice(replicas)
                     outcome = await replica.put(version, b"%d" % version)
                     if outcome.is_certain:
-                        certain_versions.append(outcome.state.version)
+                        certain_versions.append(outcome.state.base_version)
                     await anyio.sleep(generator.uniform(0, CHANGE_INTERVAL_S))
 
             async def read_forever() -> None:
@@ -170,7 +170,7 @@
                     outcome = await generator.choice(replicas).read()
                     if outcome.is_certain:
                         certain_reads += 1
-                        found = outcome.state.version
+                        found = outcome.state.base_version
                         if found < expected:
                             stale_reads.append(f"{found} after {expected}")
                         certain_versions.append(found)
--- a/bluebelltide/control/tests/test_deployment_replica.py
+++ b/bluebelltide/control/tests/test_deployment_replica.py
@@ -108,7 +108,7 @@
                 "", _calls.Fetch(replica_network.KEY)
             )
             assert isinstance(committed, _calls.Fetched)
-            assert committed.state.version == 0
+            assert committed.state.version is None
             assert not (await restarted.read()).is_certain
 
     run_in_network(run)
@@ -123,7 +123,7 @@
         standby.close()
         (tmp_path / "10.0.0.4" / "deployment").write_bytes(b"\xff")
         restarted = network.start("10.0.0.4", is_first_start=False)
-        assert restarted.newest_state(replica_network.KEY).version == 0
+        assert restarted.newest_state(replica_network.KEY).version is None
 
     run_in_network(run)
 
@@ -310,7 +310,7 @@
         for host in replica_network.SEEDS:
             network.start(host, is_first_start=False)
         third = network.replicas[replica_network.SEEDS[2]]
-        assert third.committed_state(replica_network.KEY).version == 0
+        assert third.committed_state(replica_network.KEY).version is None
         assert replica_network.KEY in third.unconfirmed_keys()
         assert (await third.confirm(replica_network.KEY)).state.value == b"four"
 
--- a/bluebelltide/control/tests/test_evacuations.py
+++ b/bluebelltide/control/tests/test_evacuations.py
@@ -83,7 +83,7 @@
         for replica in replicas:
             assert await order_at(replica, WITHDRAW) == (2, ())
         # The set has a version of its own.
-        assert replicas[0].committed_state(replica_network.KEY).version == 0
+        assert replicas[0].committed_state(replica_network.KEY).version is None
 
     run_in_network(run)
 
--- a/bluebelltide/control/tests/test_update_publisher.py
+++ b/bluebelltide/control/tests/test_update_publisher.py
@@ -210,7 +210,7 @@
     assert [one.target.target_id for one in partial.records] == ["i-0"]
     assert len(updates["10.0.0.7"].records) == 2
     # What the replica reports of itself is news to all, too.
-    newer = STATUS._replace(deployment_version=STATUS.deployment_version + 1)
+    newer = STATUS._replace(deployment_version=5)
     hosts = {one.host for one in publisher.make_updates(newer, 2)}
     assert "10.0.0.8" in hosts
     hosts = {one.host for one in publisher.make_updates(newer, 3)}
--- a/bluebelltide/ctl/_explain.py
+++ b/bluebelltide/ctl/_explain.py
@@ -101,7 +101,7 @@
     chain = [
         line
         for line in ordered
-        if line.number("version") == version and _is_about_deployment(line)
+        if line.has_number("version", version) and _is_about_deployment(line)
     ]
     if not chain:
         return None
--- a/bluebelltide/ctl/tests/test_explain.py
+++ b/bluebelltide/ctl/tests/test_explain.py
@@ -200,6 +200,25 @@
     assert _explain.explain_change(lines, 7) is None
 
 
+def test_a_proposal_without_a_quorum_is_not_taken_for_version_0() -> None:
+    """Nothing was stored then, so its line tells no version."""
+    key = "deployment"
+    failed = line(
+        5,
+        "control-1",
+        "proposal_ended",
+        key=key,
+        version=None,
+        outcome="no_quorum",
+        spent_ms=900,
+    )
+    assert _explain.explain_change([failed], 0) is None
+    stored = line(9, "control-1", "state_committed", key=key, version=0)
+    explanation = _explain.explain_change([failed, stored], 0)
+    assert explanation is not None
+    assert explanation.chain == (stored,)
+
+
 @pytest.mark.parametrize(
     "text",
     [
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -21,6 +21,7 @@
 from bluebelltide import _types
 from bluebelltide._events import events
 from bluebelltide.catalogue import _deployment
+from bluebelltide.catalogue import _register
 from bluebelltide.entry import _evacuation_view
 from bluebelltide.entry import _flow_log
 from bluebelltide.entry import _load_reporter
@@ -324,11 +325,15 @@
     def _should_fetch_deployment(self, update: _datagrams.Update) -> bool:
         """Returns whether to fetch the deployment of an update's sender."""
         version = self._deployment_version()
-        if max(update.deployment_version, update.unconfirmed_version) > version:
+        offered_versions = (
+            update.deployment_version,
+            update.unconfirmed_version,
+        )
+        if any(_register.is_newer(one, version) for one in offered_versions):
             return True
         # An unconfirmed deployment is fetched again once its version is
         # committed: other content may have been committed under it.
-        is_confirmed_or_absent = self._is_confirmed or version < 0
+        is_confirmed_or_absent = self._is_confirmed or version is None
         return (
             not is_confirmed_or_absent and update.deployment_version == version
         )
@@ -399,9 +404,9 @@
         ]
         self._placer.note_returned_targets(tokens, _clock.now_ms())
 
-    def _deployment_version(self) -> int:
+    def _deployment_version(self) -> int | None:
         routes = self._front.routes
-        return -1 if routes is None else routes.deployment.version
+        return None if routes is None else routes.deployment.version
 
     async def _fetch_deployment(self) -> None:
         """Fetches and applies the newest deployment that a replica has.
@@ -430,7 +435,7 @@
             self._metrics.count("fetch", "failed")
             return
         state = answer.state
-        is_newer = state.version > self._deployment_version()
+        is_newer = state.is_newer_than(self._deployment_version())
         is_confirmation = (
             state.version == self._deployment_version() and answer.is_committed
         )
--- a/bluebelltide/entry/tests/test_direct_service.py
+++ b/bluebelltide/entry/tests/test_direct_service.py
@@ -44,11 +44,11 @@
         last_index=0,
         has_more=False,
         has_complete_view=True,
-        deployment_version=committed,
+        encoded_deployment_version=committed,
         voters_version=1,
         replicas=(),
         records=(),
-        unconfirmed_version=unconfirmed,
+        encoded_unconfirmed_version=unconfirmed,
     )
 
 
@@ -62,6 +62,15 @@
         (4, True, 4, 4, False),
         (4, False, 3, 3, False),
         (4, True, 5, 5, True),
+        # 0 is a version like any other, and -1 says that nothing is stored.
+        (-1, False, -1, -1, False),
+        (-1, False, -1, 0, True),
+        (-1, False, 0, 0, True),
+        (0, False, -1, 0, False),
+        (0, False, 0, 0, True),
+        (0, True, 0, 0, False),
+        (0, True, 1, 1, True),
+        (1, True, 0, 0, False),
     ],
 )
 def test_an_unconfirmed_deployment_is_fetched_again_once_it_is_committed(
@@ -100,7 +109,7 @@
             last_index=port,
             has_more=False,
             has_complete_view=True,
-            deployment_version=-1,
+            encoded_deployment_version=-1,
             voters_version=1,
             replicas=(),
             records=(record,),
--- a/bluebelltide/flows/_coordinator.py
+++ b/bluebelltide/flows/_coordinator.py
@@ -443,7 +443,7 @@
         def choose(
             state: _register.RegisterState,
         ) -> tuple[_register.RegisterState, _register.ChangeResult]:
-            if state.version == 0:
+            if state.version is None:
                 state = _register.RegisterState(1, value)
             return state, _register.ChangeResult(None, state, 1)
 
--- a/bluebelltide/membership/tests/test_replica_poller.py
+++ b/bluebelltide/membership/tests/test_replica_poller.py
@@ -18,7 +18,7 @@
         last,
         has_more,
         has_complete_view=True,
-        deployment_version=1,
+        encoded_deployment_version=1,
         voters_version=1,
         replicas=(_datagrams.Replica("10.0.0.2~0", "south"),),
         records=(),
--- a/bluebelltide/messaging/_calls.py
+++ b/bluebelltide/messaging/_calls.py
@@ -46,11 +46,16 @@
 
     accepted_ballot: _register.Ballot
     """The ballot of the accepted state, which identifies the state."""
-    version: int
-    """The version of the accepted state."""
+    encoded_version: int
+    """The version of the accepted state, encoded by `encode_version`."""
     voters_version: int
     """The version of the voter set that the voter uses."""
 
+    @property
+    def version(self) -> int | None:
+        """The version of the accepted state, None if the voter has none."""
+        return _register.decode_version(self.encoded_version)
+
 
 class Fetch(NamedTuple):
     """Asks any replica for the newest state of a register."""
@@ -66,7 +71,7 @@
     """Answers a Fetch."""
 
     state: _register.RegisterState
-    """The state; its version is 0 if the replica knows none."""
+    """The state, in which nothing is stored if the replica knows none."""
     is_committed: bool = True
     """Whether the replica knows that the state is committed."""
 
--- a/bluebelltide/messaging/_datagrams.py
+++ b/bluebelltide/messaging/_datagrams.py
@@ -15,6 +15,7 @@
 from bluebelltide import _exceptions
 from bluebelltide import _types
 from bluebelltide.catalogue import _evacuations
+from bluebelltide.catalogue import _register
 from bluebelltide.membership import _directory
 from bluebelltide.membership import _target_records
 
@@ -88,19 +89,20 @@
     has_complete_view: bool
     """Whether the replica has run long enough to have received an announcement
     of every live target."""
-    deployment_version: int
+    encoded_deployment_version: int
     """The newest version of the deployment that the replica knows to be
-    committed."""
+    committed, encoded by `encode_version`."""
     voters_version: int
     """The version of the committed voter set; 0 if none is known."""
     replicas: tuple[Replica, ...]
     """The control replicas that this one received a message from recently."""
     records: tuple[_directory.TargetRecord, ...]
     """The targets that changed since `first_index`."""
-    unconfirmed_version: int = 0
-    """The newest version of the deployment that entry instances may fetch.
-    After a restart the replica does not know whether it is committed, and it
-    may be newer or older than the newest committed one."""
+    encoded_unconfirmed_version: int = _register.NOTHING_STORED
+    """The newest version of the deployment that entry instances may fetch,
+    encoded by `encode_version`. After a restart the replica does not know
+    whether it is committed, and it may be newer or older than the newest
+    committed one."""
     is_partial: bool = False
     """Whether the records are urgent changes only. The receiver learns the
     others from another replica, so `last_index` says nothing."""
@@ -111,6 +113,16 @@
     """A newer set that the replica holds and that may not be committed, for
     instances that have heard of no committed one. Mostly None."""
 
+    @property
+    def deployment_version(self) -> int | None:
+        """The newest committed version; None if the replica knows none."""
+        return _register.decode_version(self.encoded_deployment_version)
+
+    @property
+    def unconfirmed_version(self) -> int | None:
+        """The newest version to fetch; None if the replica holds none."""
+        return _register.decode_version(self.encoded_unconfirmed_version)
+
 
 class PeerList(NamedTuple):
     """Names the instances to which an entry instance reports its load.
--- a/bluebelltide/messaging/tests/test_datagrams.py
+++ b/bluebelltide/messaging/tests/test_datagrams.py
@@ -74,11 +74,11 @@
         last_index=70_000,
         has_more=True,
         has_complete_view=False,
-        deployment_version=-1,
+        encoded_deployment_version=-1,
         voters_version=1,
         replicas=(_datagrams.Replica("10.0.0.2~1", "south"),) * 3,
         records=records,
-        unconfirmed_version=2**40,
+        encoded_unconfirmed_version=2**40,
         is_partial=True,
     )
     for _ in range(2):
--- a/bluebelltide/soak/_operators.py
+++ b/bluebelltide/soak/_operators.py
@@ -64,7 +64,8 @@
         self._routes = routes
         self._probe_routes = probe_routes
         self._rng = rng
-        self._version = 0
+        # The first deployment may have the version 0.
+        self._version = -1
         self._paused_until_s = 0.0
 
     def pause_changes(self, duration_s: float) -> None:
@@ -168,7 +169,7 @@
 
         If a replica accepted it, reads would violate `never_reverts`.
         """
-        if not self._version:
+        if self._version < 0:
             return
         routes = self._routes[:1]
         call = self._adapter.make_change_call(self._version, routes)
--- a/bluebelltide/spec/_models.py
+++ b/bluebelltide/spec/_models.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from bluebelltide.spec import _bucket_model
+from bluebelltide.spec import _deployment_model
 from bluebelltide.spec import _directory_model
 from bluebelltide.spec import _evacuations_model
 from bluebelltide.spec import _explorer
@@ -129,6 +130,12 @@
             _evacuations_model.create_evacuations_model,
             _evacuations_model.MUTATIONS,
         ),
+        NamedModel(
+            "deployment",
+            "3 acceptors, versions 0, 1 and 0 with other content, restarts",
+            _deployment_model.create_deployment_model,
+            _deployment_model.MUTATIONS,
+        ),
         NamedModel(
             "directory",
             "2 replicas, 1 instance that starts anew, a target that drains",
--- a/bluebelltide/spec/_register_model.py
+++ b/bluebelltide/spec/_register_model.py
@@ -241,7 +241,7 @@
             for index, value in find_decided(state)
         )
         for (_, first), (_, second) in zip(decided, decided[1:], strict=False):
-            if second.version < first.version:
+            if first.is_newer_than(second.version):
                 return "a decided version reverted"
             if second.version == first.version and second != first:
                 return "two states were decided under one version"
@@ -249,7 +249,7 @@
                 return "a decided change was lost"
         for _, value in decided:
             ids = [applied.change_id for applied in value.history]
-            if len(ids) != len(set(ids)) or value.version > 2:
+            if len(ids) != len(set(ids)) or value.is_newer_than(2):
                 return "a change was applied twice"
         return find_result_violation(state, [value for _, value in decided])
 
--- a/bluebelltide/spec/tests/test_models.py
+++ b/bluebelltide/spec/tests/test_models.py
@@ -29,7 +29,8 @@
 
 
 @pytest.mark.parametrize(
-    "name", ["bucket", "directory", "evacuations", "removals"]
+    "name",
+    ["bucket", "deployment", "directory", "evacuations", "removals"],
 )
 def test_model_holds_in_its_whole_scope(name: str) -> None:
     result = spec.explore(find_model(name).create(""), 2_000_000)
