--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -48,8 +48,8 @@
 """Fraction of a target's lease within which every live target announces
 itself."""
 LATER_START_LEASE_SHARE = 0.125
-"""Fraction of a target's lease for which a start that tells an earlier time
-must announce itself, while the known start is silent."""
+"""Fraction of a target's lease for which a start whose time does not prove that
+it is the later one must announce itself, while the known start is silent."""
 SAVE_INTERVAL_MS = 700
 """Time between two checks whether the files for the next start are out of
 date."""
--- a/bluebelltide/membership/_start_order.py
+++ b/bluebelltide/membership/_start_order.py
@@ -5,6 +5,12 @@
 start is recognised because it goes on announcing itself while nothing is heard
 of the known one. A late copy of an earlier announcement does not.
 
+Once a clock has been set back, a later time proves nothing either: a late copy
+of the start before the step tells one, too. From then on every other start of
+this target is recognised by going on, whatever time it tells. This needs no
+memory of the superseded starts, so it also holds at a replica that has
+heard of none of them and after a restart.
+
 A generation is the time of the start with the number of such steps before it in
 its upper bits. So generations order the starts, and replicas that recognise the
 same start give it the same generation.
@@ -34,7 +40,7 @@
 
 
 class _Candidate(NamedTuple):
-    """A start that tells an earlier time than the known one."""
+    """A start that may be later than the known one, whatever time it tells."""
 
     started_ms: int
     """The time that it tells."""
@@ -56,8 +62,9 @@
         """Creates the order.
 
         Args:
-            confirm_ms: How long a start that tells an earlier time must go on
-                announcing itself; a few announcements long.
+            confirm_ms: How long a start must go on announcing itself if its
+                time does not prove that it is the later one; a few
+                announcements long.
         """
         self._confirm_ms = confirm_ms
         self._candidates: dict[_types.TargetId, _Candidate] = {}
@@ -78,21 +85,26 @@
             start than the known one, or cannot be told from one yet.
         """
         started = target.generation
+        known_started = started_ms(known.generation)
         steps = known.generation >> STARTED_BITS
-        if started >= started_ms(known.generation):
-            self._candidates.pop(target.target_id, None)
-            return steps << STARTED_BITS | started
-        if not self._is_confirmed(target, known, now_ms):
+        is_proved_by_time = started > known_started and not steps
+        if not (
+            started == known_started
+            or is_proved_by_time
+            or self._is_confirmed(target, known, now_ms)
+        ):
             return None
-        del self._candidates[target.target_id]
-        if steps >= MAXIMUM_STEPS:
+        self._candidates.pop(target.target_id, None)
+        if started < known_started:
+            steps += 1
+        if steps > MAXIMUM_STEPS:
             return None
-        return (steps + 1) << STARTED_BITS | started
+        return steps << STARTED_BITS | started
 
     def _is_confirmed(
         self, target: _types.Target, known: KnownStart, now_ms: int
     ) -> bool:
-        """Returns whether a start that tells an earlier time is the later."""
+        """Returns whether a start goes on while the known one is silent."""
         target_id = target.target_id
         candidate = self._candidates.get(target_id)
         if (
--- a/bluebelltide/membership/tests/test_start_order.py
+++ b/bluebelltide/membership/tests/test_start_order.py
@@ -54,10 +54,32 @@
     other = _start_order.StartOrder(CONFIRM_MS)
     known = _start_order.KnownStart(generation, 2500)
     assert announce(other, known, BEFORE_MS, (2600,)) == [generation]
-    # The next start is ordered after it.
-    (after,) = announce(other, known, BEFORE_MS + 1, (2700,))
-    assert after is not None
-    assert after > generation
+    # The next start is ordered after it, once it goes on: its time alone does
+    # not prove that it is no late copy of the start before the step.
+    found = announce(other, known, BEFORE_MS + 1, (2700, 3900, 5100))
+    assert found[:2] == [None, None]
+    assert found[2] is not None
+    assert found[2] > generation
+
+
+def test_a_late_copy_of_the_start_before_a_step_does_not_come_back() -> None:
+    """Guards against a drain that a late announcement undoes.
+
+    Only the number of steps was kept, so the superseded start, which tells the
+    later time, counted as a new one.
+    """
+    order = _start_order.StartOrder(CONFIRM_MS)
+    known = _start_order.KnownStart(KNOWN_STARTED_MS, 0)
+    (*_, generation) = announce(order, known, BEFORE_MS, (100, 1300, 2500))
+    assert generation is not None
+    known = _start_order.KnownStart(generation, 6000)
+    # A replica that heard of neither start knows the record only.
+    for one in (order, _start_order.StartOrder(CONFIRM_MS)):
+        late = make_target(KNOWN_STARTED_MS, 2)
+        assert one.find_generation(late, known, 6100) is None
+        later = make_target(KNOWN_STARTED_MS, 3)
+        known_again = known._replace(heard_ms=7200)
+        assert one.find_generation(later, known_again, 9000) is None
 
 
 @pytest.mark.parametrize(
