--- a/bluebelltide/control/_direct_service.py
+++ b/bluebelltide/control/_direct_service.py
@@ -16,6 +16,7 @@
 from bluebelltide import _clock
 from bluebelltide import _exceptions
 from bluebelltide import _guard
+from bluebelltide import _http1
 from bluebelltide import _metrics
 from bluebelltide import _types
 from bluebelltide._events import events
@@ -69,6 +70,16 @@
 """How long a silent replica stays known."""
 
 
+def _make_unknown_service_error(
+    target: _types.Target,
+) -> _exceptions.BluebelltideError:
+    return _exceptions.BluebelltideError(
+        _exceptions.ErrorCode.BAD_TARGET,
+        f"expected a service of the deployment, found {target.service!r}",
+        target.target_id,
+    )
+
+
 async def start_when_disk_accepts(start: Callable[[], None]) -> None:
     """Starts a replica; waits while its disk refuses to be written.
 
@@ -103,15 +114,24 @@
     def __init__(
         self,
         settings: _deployment_replica.ReplicaSettings,
+        read_services: Callable[[bytes], frozenset[_types.ServiceName]],
         metrics: _metrics.Metrics,
     ) -> None:
-        """Creates the controller; `start` opens files and sockets."""
+        """Creates the controller; `start` opens files and sockets.
+
+        Args:
+            settings: The settings.
+            read_services: Decodes the names of the services of a deployment's
+                document.
+            metrics: The metrics of the process.
+        """
         self.directory = _directory.TargetDirectory()
+        self._read_services = read_services
         self.refuse_target = _target_records.make_refusal_handler(metrics)
         self.deployment_replica = _deployment_replica.DeploymentReplica(
             settings,
             _store.Store(settings.data_folder),
-            self._push_update,
+            self._on_commit,
             metrics,
         )
         self.data_centres: frozenset[str] = frozenset()
@@ -125,6 +145,8 @@
         )
         self._renewals = _renewals.Renewals(self.directory)
         self._order_gate = _order_gate.OrderGate(_clock.boot_ms())
+        # The deployment's document whose services the directory knows.
+        self._services_document: bytes | None = None
         self._keys_being_fetched: set[str] = set()
         self._saved_targets = _saved_targets.SavedTargets(
             settings.data_folder, self.directory, self.refuse_target
@@ -148,6 +170,7 @@
         await start_when_disk_accepts(
             lambda: self.deployment_replica.start(tasks)
         )
+        self._use_services()
         self._saved_targets.recover(_clock.now_ms())
         self._own_replica = _datagrams.Replica(
             self.deployment_replica.identity, settings.data_centre
@@ -200,6 +223,26 @@
         )
         events.write("started", identity=self._own_replica.identity)
 
+    def _on_commit(self) -> None:
+        self._use_services()
+        self._push_update()
+
+    def _use_services(self) -> None:
+        """Tells the directory which services the newest deployment names."""
+        key = _deployment.DEPLOYMENT_KEY
+        document = self.deployment_replica.newest_state(key).value
+        if document is None or document == self._services_document:
+            return
+        self._services_document = document
+        try:
+            body = _deployment.decompress_document(
+                document, _http1.MAXIMUM_BODY_BYTES
+            )
+            self.directory.services = self._read_services(body)
+        except _exceptions.BluebelltideError as error:
+            # Another writer may have sent it. The earlier names stay in use.
+            events.write("deployment_unreadable", error=str(error))
+
     async def hand_over(self) -> None:
         """Waits until another replica has taken over this one's vote.
 
@@ -229,9 +272,13 @@
 
         Returns:
             Whether the announcement is in use. It is not if a later start of
-            the target is known, as far as that can be told.
+            the target is known, as far as that can be told, or if it cannot be
+            used and the known one can.
         """
         now_ms = _clock.now_ms()
+        if self.directory.is_kept_out(target):
+            self.refuse_target(_make_unknown_service_error(target))
+            return False
         known = self.directory.get(target.target_id)
         if known is not None and known.target.generation != target.generation:
             generation = self._find_generation(target, known, now_ms)
--- a/bluebelltide/control/tests/test_task_errors.py
+++ b/bluebelltide/control/tests/test_task_errors.py
@@ -119,7 +119,9 @@
     settings = _deployment_replica.ReplicaSettings(
         HOST, 0, "north", (HOST,), folder, True, 1, 9600
     )
-    control = _direct_service.DirectControl(settings, metrics)
+    control = _direct_service.DirectControl(
+        settings, lambda body: frozenset(), metrics
+    )
     await control.start(tasks)
     return control
 
--- a/bluebelltide/entry/_direct_service.py
+++ b/bluebelltide/entry/_direct_service.py
@@ -455,6 +455,7 @@
         previous = self._front.routes
         routes = _deployment.RouteTable(deployment)
         self._front.routes = routes
+        self._directory.services = routes.services
         self._placer.cold_rate_limit.use_limits(deployment.cold_limits)
         if previous is None or previous.services != routes.services:
             # Which targets count depends on the services.
--- a/bluebelltide/entry/tests/test_direct_service.py
+++ b/bluebelltide/entry/tests/test_direct_service.py
@@ -228,3 +228,22 @@
         entry._front._endpoints[token].target_id
         for token in entry._placer._accepting
     }
+
+
+def test_an_entry_of_an_unknown_service_moves_no_open_flow() -> None:
+    """Guards against packets that another writer sends to another address."""
+    entry = make_entry()
+    own = test_directory.make_target("i-1", port=1)
+    service = test_token_front.DEPLOYMENT.services[0]
+    own = own._replace(service=service)
+    entry._directory.merge(_directory.TargetRecord(own), 0)
+    document = _deployment.compress_document(b"{}")
+    entry._apply_deployment(document, is_committed=True)
+    foreign = test_directory.make_target("i-1", port=2, sequence=51)
+    foreign = foreign._replace(service="nobody")
+    update = make_update(-1, -1)._replace(
+        records=(_directory.TargetRecord(foreign),)
+    )
+    entry._on_update(update, 100)
+    (known,) = entry._target_index.known.values()
+    assert known.address == own.address
--- a/bluebelltide/membership/_directory.py
+++ b/bluebelltide/membership/_directory.py
@@ -8,6 +8,11 @@
 the rest, never changes a record. The record of a target that left is kept for a
 while as a tombstone. An address belongs to the incarnation that started last
 among those of services that the deployment names.
+
+Anybody may write an entry under the id of a target. One of a service that the
+deployment does not name cannot be used, so it replaces no live record of a
+service that it names. One start has one service, so among two entries of the
+same start the one that can be used counts, whatever their sequences.
 """
 
 import bisect
@@ -55,6 +60,30 @@
     return target.generation, target.sequence, record.has_left
 
 
+def _is_usable(
+    record: TargetRecord, services: Container[_types.ServiceName]
+) -> bool:
+    return record.target.service in services and not record.has_left
+
+
+def _replaces(
+    record: TargetRecord,
+    known: TargetRecord,
+    services: Container[_types.ServiceName] | None,
+) -> bool:
+    """Returns whether a record takes the place of the known one."""
+    target = record.target
+    if services is not None and target.service != known.target.service:
+        is_named = target.service in services
+        was_named = known.target.service in services
+        if _is_usable(known, services) and not is_named:
+            return False
+        is_same_start = target.generation == known.target.generation
+        if is_same_start and is_named and not was_named:
+            return True
+    return _recency(record) > _recency(known)
+
+
 def is_material_change(
     before: TargetRecord | None, after: TargetRecord
 ) -> bool:
@@ -110,12 +139,15 @@
         last_index: The index of the last change.
         digest: A hash of the targets that have not left, whatever the order
             of the changes; 0 if there are none.
+        services: The services that the deployment names; None while no
+            deployment is known, when any entry may be that of a target.
     """
 
     def __init__(self) -> None:
         """Creates an empty directory."""
         self.last_index = 0
         self.digest = 0
+        self.services: Container[_types.ServiceName] | None = None
         self._note_record: Callable[[_types.TargetId], None] = _ignore
         self._hashes: dict[_types.TargetId, int] = {}
         self._records: dict[_types.TargetId, TargetRecord] = {}
@@ -157,7 +189,7 @@
         return self._heard_times(known.has_left)[target_id]
 
     def merge(self, record: TargetRecord, now_ms: int) -> bool:
-        """Stores a record if it is newer than the known one.
+        """Stores a record if it takes the place of the known one.
 
         Args:
             record: The record, from the target or from a replica.
@@ -168,7 +200,7 @@
         """
         target_id = record.target.target_id
         known = self._records.get(target_id)
-        if known is not None and _recency(record) <= _recency(known):
+        if known is not None and not _replaces(record, known, self.services):
             return False
         if known is None and len(self._records) >= MAXIMUM_TARGETS:
             return False
@@ -181,6 +213,19 @@
         self._mark_as_changed(target_id)
         return True
 
+    def is_kept_out(self, target: _types.Target) -> bool:
+        """Returns whether the known record can be used and this entry cannot.
+
+        Args:
+            target: A target of which an entry has arrived.
+        """
+        known = self._records.get(target.target_id)
+        if known is None or self.services is None:
+            return False
+        return target.service not in self.services and _is_usable(
+            known, self.services
+        )
+
     def resend_if_newer(self, record: TargetRecord) -> bool:
         """Marks the known record as changed if a sender lacks it.
 
@@ -207,8 +252,12 @@
     ) -> None:
         """Records when a sequence was first heard of."""
         target = record.target
+        # A start has one service, so another one comes from another writer,
+        # whose sequences say nothing of the target.
         is_same_start = (
-            known is not None and known.target.generation == target.generation
+            known is not None
+            and known.target.generation == target.generation
+            and known.target.service == target.service
         )
         heard = self._heard_sequences.get(target.target_id, 0)
         if is_same_start and target.sequence < heard:
