--- a/bluebelltide/control/tests/replica_network.py
+++ b/bluebelltide/control/tests/replica_network.py
@@ -1,6 +1,6 @@
 """A network of deployment replicas that call each other in memory."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import pathlib
 
@@ -88,3 +88,7 @@
             network.start(host)
         yield network
         tasks.cancel_scope.cancel()
+
+
+RunInNetwork = Callable[[Callable[[Network], Awaitable[None]]], None]
+"""Runs a test of replicas that are connected by a network."""
--- a/bluebelltide/control/tests/test_deployment_replica.py
+++ b/bluebelltide/control/tests/test_deployment_replica.py
@@ -1,6 +1,5 @@
 """Tests of deployment replicas that call each other in memory."""
 
-from collections.abc import Awaitable, Callable
 import pathlib
 
 import anyio
@@ -12,30 +11,8 @@
 from bluebelltide.control import _voters
 from bluebelltide.control.tests import replica_network
 from bluebelltide.messaging import _calls
-from bluebelltide.tests import virtual_time
-
-RunInNetwork = Callable[
-    [Callable[[replica_network.Network], Awaitable[None]]], None
-]
-"""Runs a test of replicas that are connected by a network."""
-
-
-@pytest.fixture
-def run_in_network(
-    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
-) -> RunInNetwork:
-    def run_test(
-        test: Callable[[replica_network.Network], Awaitable[None]],
-    ) -> None:
-        async def run() -> None:
-            async with replica_network.open_network(
-                tmp_path, monkeypatch
-            ) as network:
-                await test(network)
-
-        virtual_time.run_in_virtual_time(run, monkeypatch)
-
-    return run_test
+
+RunInNetwork = replica_network.RunInNetwork
 
 
 def test_every_replica_reads_the_newest_accepted_version(
--- a/bluebelltide/control/tests/test_evacuations.py
+++ b/bluebelltide/control/tests/test_evacuations.py
@@ -1,6 +1,5 @@
 """Tests of evacuation orders at replicas that call each other in memory."""
 
-from collections.abc import Awaitable, Callable
 import pathlib
 import random
 
@@ -25,28 +24,7 @@
 LOST_ANSWER_SHARE = 0.3
 """The share of acknowledgements that do not reach the operator."""
 
-RunInNetwork = Callable[
-    [Callable[[replica_network.Network], Awaitable[None]]], None
-]
-"""Runs a test of replicas that are connected by a network."""
-
-
-@pytest.fixture
-def run_in_network(
-    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
-) -> RunInNetwork:
-    def run_test(
-        test: Callable[[replica_network.Network], Awaitable[None]],
-    ) -> None:
-        async def run() -> None:
-            async with replica_network.open_network(
-                tmp_path, monkeypatch
-            ) as network:
-                await test(network)
-
-        virtual_time.run_in_virtual_time(run, monkeypatch)
-
-    return run_test
+RunInNetwork = replica_network.RunInNetwork
 
 
 async def order_at(
--- a/bluebelltide/control/tests/test_version_zero.py
+++ b/bluebelltide/control/tests/test_version_zero.py
@@ -5,9 +5,6 @@
 deployment without storing it.
 """
 
-from collections.abc import Awaitable, Callable
-import pathlib
-
 import pytest
 
 from bluebelltide.catalogue import _register
@@ -15,31 +12,10 @@
 from bluebelltide.control import _read_tally
 from bluebelltide.control.tests import replica_network
 from bluebelltide.messaging import _calls
-from bluebelltide.tests import virtual_time
 
 KEY = replica_network.KEY
 SEEDS = replica_network.SEEDS
-RunInNetwork = Callable[
-    [Callable[[replica_network.Network], Awaitable[None]]], None
-]
-
-
-@pytest.fixture
-def run_in_network(
-    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
-) -> RunInNetwork:
-    def run_test(
-        test: Callable[[replica_network.Network], Awaitable[None]],
-    ) -> None:
-        async def run() -> None:
-            async with replica_network.open_network(
-                tmp_path, monkeypatch
-            ) as network:
-                await test(network)
-
-        virtual_time.run_in_virtual_time(run, monkeypatch)
-
-    return run_test
+RunInNetwork = replica_network.RunInNetwork
 
 
 async def read_everywhere(
