--- a/bluebelltide/soak/_links.py
+++ b/bluebelltide/soak/_links.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import socket
 import struct
@@ -217,5 +218,12 @@
 
 
 def _reset_on_close(stream: anyio.abc.SocketStream) -> None:
+    """Makes the end of a connection a reset, unless it has ended already.
+
+    Both directions close both streams, so the other one may have been faster.
+    """
     raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    with contextlib.suppress(OSError):
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
